--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# The one entry to build, test and measure. `make help` lists the targets.
+GOFUMPT_VERSION := v0.12.0
+GOLANGCI_VERSION := v2.15.0
+GOBIN := $(shell go env GOPATH)/bin
+LOCAL := github.com/lagoonkeel/lagoonkeel
+GO_DIRS := cmd internal pkg
+
+.PHONY: help build test format lint vet tools demo demo-processes model fuzz-seeds measure generate ci
+
+help: ## List the targets.
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+
+build: ## Build both programs into bin/.
+	go build -o bin/ ./cmd/...
+
+test: ## Run the tests with the race detector.
+	go test -race -timeout 10m ./...
+
+format: ## Format the code.
+	$(GOBIN)/gofumpt -w $(GO_DIRS)
+
+format-check: ## Fail if a file is not formatted.
+	@files="$$($(GOBIN)/gofumpt -l $(GO_DIRS))"; test -z "$$files" || { echo "not formatted, run make format:"; echo "$$files"; exit 1; }
+
+lint: ## Run the linter.
+	$(GOBIN)/golangci-lint run ./...
+
+vet: ## Run go vet.
+	go vet ./...
+
+tools: ## Install the formatter and the linter.
+	@test -x $(GOBIN)/gofumpt || go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+	@test -x $(GOBIN)/golangci-lint || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+generate: ## Generate the messages between VMs (needs buf and its plugins).
+	buf generate
+
+ci: ## Run everything that CI runs.
+	bash .ci/run
--- /dev/null
+++ b/internal/admitter/admitter.go
@@ -0,0 +1,80 @@
+// Package admitter decides whether a request is within its team's rate.
+package admitter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// Bucket is a token bucket. It does no I/O and is not safe for concurrent use.
+type Bucket struct {
+	// rate is in tokens per second; burst is the most tokens kept.
+	rate  float64
+	burst float64
+	// tokens is between 0 and burst as of the instant last.
+	tokens float64
+	last   timer.Instant
+}
+
+// NewBucket returns a bucket that holds the given tokens.
+func NewBucket(now timer.Instant, rate, burst, tokens float64) *Bucket {
+	return &Bucket{
+		rate:   rate,
+		burst:  burst,
+		tokens: tokens,
+		last:   now,
+	}
+}
+
+// Take removes n tokens if there are as many. Otherwise wait is the time until
+// there will be.
+func (b *Bucket) Take(now timer.Instant, n float64) (taken bool, wait time.Duration) {
+	if now.After(b.last) {
+		b.tokens = min(b.burst, b.tokens+b.rate*now.Sub(b.last).Seconds())
+		b.last = now
+	}
+	if b.tokens >= n {
+		b.tokens -= n
+
+		return true, 0
+	}
+
+	return false, time.Duration((n - b.tokens) / b.rate * float64(time.Second))
+}
+
+// Share admits a fixed part of each team's rate on this VM alone. It is the
+// baseline that fleet-wide admission is measured against.
+type Share struct {
+	// members returns the number of VMs that share each rate; at least 1.
+	members func() int
+	mu      sync.Mutex
+	buckets map[string]*Bucket
+}
+
+// NewShare returns an admitter that grants 1/members of each rate.
+func NewShare(members func() int) *Share {
+	return &Share{
+		members: members,
+		buckets: map[string]*Bucket{},
+	}
+}
+
+// Admit takes one request of the team's rate.
+func (s *Share) Admit(_ context.Context, now timer.Instant, team *manifester.Team) (admitted bool, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := float64(s.members())
+	b, ok := s.buckets[team.Name()]
+	if !ok {
+		b = NewBucket(now, 0, 0, max(1, team.Burst()/n))
+		s.buckets[team.Name()] = b
+	}
+	b.rate = team.Rate() / n
+	b.burst = max(1, team.Burst()/n)
+
+	return b.Take(now, 1)
+}
--- /dev/null
+++ b/internal/assembler/assembler.go
@@ -0,0 +1,150 @@
+// Package assembler builds one VM's process out of settings: the filter chain,
+// the controllers and the listeners.
+package assembler
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
+	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
+	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
+	"github.com/lagoonkeel/lagoonkeel/internal/follower"
+	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/listener"
+	"github.com/lagoonkeel/lagoonkeel/internal/lister"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/member"
+	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
+	"github.com/lagoonkeel/lagoonkeel/internal/picker"
+	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
+	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// maxFields bounds the header fields of a request.
+const maxFields = 100
+
+// VM is one assembled process.
+type VM struct {
+	settings *configurer.Settings
+	logger   *logger.Logger
+	timers   *timer.Service
+	follower *follower.Follower
+	watcher  *member.Watcher
+	server   *messenger.Server
+	pool     *messenger.Pool
+	listener *listener.Listener
+	// operators serves readiness, status and metrics.
+	operators *operators
+}
+
+// sockets are the open listeners of a VM.
+type sockets struct {
+	callers   net.Listener
+	peers     net.Listener
+	operators net.Listener
+}
+
+// New opens the listeners and builds the process.
+func New(s *configurer.Settings, l *logger.Logger) (*VM, error) {
+	open, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+	v := &VM{
+		settings: s,
+		logger:   l,
+		timers:   timer.NewService(),
+		server:   messenger.NewServer(open.peers),
+		pool:     messenger.NewPool(),
+	}
+	v.follower = follower.New(streamer.NewClient(s.LogBase()), decoder.Change, v.timers, l)
+	self := member.NewVM(member.ID(s.ID()), 0, open.peers.Addr().String(), s.DataCentre())
+	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
+	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
+	v.operators = newOperators(open.operators, v)
+
+	return v, nil
+}
+
+func listen(s *configurer.Settings) (*sockets, error) {
+	open := &sockets{}
+	config := net.ListenConfig{}
+	for _, e := range []struct {
+		address string
+		ln      *net.Listener
+	}{
+		{address: s.Callers(), ln: &open.callers},
+		{address: s.Peers(), ln: &open.peers},
+		{address: s.Operators(), ln: &open.operators},
+	} {
+		ln, err := config.Listen(context.Background(), "tcp", e.address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listening on %s; is another process using it?", e.address)
+		}
+		*e.ln = ln
+	}
+
+	return open, nil
+}
+
+// chain builds the filter chain in the order in which decisions are made.
+func (v *VM) chain() *handler.Chain {
+	return handler.NewChain(
+		filterer.NewLimit(v.settings.MaxBody(), maxFields),
+		filterer.NewAuthenticate(v.follower),
+		filterer.NewScrub(),
+		filterer.NewRoute(),
+		filterer.NewDeadline(),
+		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
+		filterer.NewPick(picker.NewRandom(), v.timers),
+		filterer.NewForward(forwarder.NewTransport(v.timers)),
+	)
+}
+
+func (v *VM) members() int {
+	return v.watcher.View().Size()
+}
+
+// Ready reports whether the VM may get callers' requests.
+func (v *VM) Ready() bool {
+	return v.follower.Ready()
+}
+
+// Version returns the version of the manifest in force on this VM.
+func (v *VM) Version() manifester.Version {
+	return v.follower.Manifest().Version()
+}
+
+// Callers returns the address of the callers' listener.
+func (v *VM) Callers() string {
+	return v.listener.Address()
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (v *VM) Run(ctx context.Context) error {
+	v.logger.Log(logger.Started,
+		logger.Text("callers", v.settings.Callers()),
+		logger.Text("peers", v.settings.Peers()),
+		logger.Text("operators", v.settings.Operators()))
+	start := v.timers.Now()
+	err := supervisor.Run(ctx, v.timers, v.follower, v.watcher, v.server, v.listener, v.operators)
+	if err != nil {
+		v.logger.Log(logger.Failed, logger.Failure(err))
+
+		return errors.Wrap(err, "running the VM")
+	}
+	v.logger.Log(logger.Stopped, logger.Millis("ran", v.timers.Now().Sub(start)))
+
+	return errors.Wrap(v.pool.Close(), "stopping the VM")
+}
+
+// shutdownTimeout bounds the stop of the operators' listener.
+const shutdownTimeout = 5 * time.Second
--- /dev/null
+++ b/internal/assembler/path_test.go
@@ -0,0 +1,162 @@
+package assembler_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/assembler"
+	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
+	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/keyer"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/publisher"
+	"github.com/lagoonkeel/lagoonkeel/internal/standin"
+	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+const (
+	testKey = "lk_test"
+	// patience bounds the wait for a state; no verdict depends on how fast it
+	// comes.
+	patience = 20 * time.Second
+)
+
+func startStandin(t *testing.T, h standin.Handler) string {
+	t.Helper()
+	s, err := standin.Listen("127.0.0.1:0", h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+
+	return s.Address()
+}
+
+func startVM(t *testing.T, logBase, listBase string) *assembler.VM {
+	t.Helper()
+	vm, err := assembler.New(configurer.New(configurer.Spec{
+		ID:         "vm-1",
+		DataCentre: "kandy",
+		Region:     "central-hills",
+		Callers:    "127.0.0.1:0",
+		Peers:      "127.0.0.1:0",
+		Operators:  "127.0.0.1:0",
+		LogBase:    logBase,
+		ListBase:   listBase,
+		MaxBody:    1 << 16,
+	}), logger.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- vm.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("the VM stopped with %v", err)
+		}
+	})
+
+	return vm
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", patience, what)
+}
+
+// TestWholePath serves requests from end to end and compares what was decided
+// with the golden transcript.
+func TestWholePath(t *testing.T) {
+	up := standin.NewUpstream("f1", standin.DefaultSlots)
+	target := startStandin(t, up.Handler())
+	logBase := "http://" + startStandin(t, standin.NewLog().Handler())
+	listBase := "http://" + startStandin(t, standin.NewVMs().Handler())
+	vm := startVM(t, logBase, listBase)
+	publishManifest(t, logBase, target)
+	waitFor(t, "the manifest is in force", func() bool { return vm.Version() == 0 })
+
+	var out bytes.Buffer
+	for _, c := range []struct{ method, path, key string }{
+		{http.MethodGet, "/species/amanita", testKey},
+		{http.MethodGet, "/species/amanita", "lk_other"},
+		{http.MethodGet, "/species/amanita", ""},
+		{http.MethodPut, "/species/amanita", testKey},
+		{http.MethodGet, "/nowhere", testKey},
+		{http.MethodGet, "/open", ""},
+		{http.MethodGet, "/species/" + testKey, testKey},
+		{http.MethodPost, "/scarce", testKey},
+	} {
+		fmt.Fprintf(&out, "%s %s key=%q: %s\n", c.method, c.path, c.key, call(t, vm.Callers(), c.method, c.path, c.key))
+	}
+	goldie.New(t).Assert(t, "path", out.Bytes())
+	if n := len(up.Runs()); n != 3 {
+		t.Errorf("%d requests ran, want 3", n)
+	}
+	for _, r := range up.Runs() {
+		if strings.Contains(fmt.Sprint(r), testKey) {
+			t.Errorf("the upstream saw the key: %v", r)
+		}
+	}
+}
+
+func publishManifest(t *testing.T, logBase, target string) {
+	t.Helper()
+	text := fmt.Sprintf(`{
+		"services": [{"name": "fieldbook", "class": "lookup", "targets": [{"name": "f1", "address": %q, "dataCentre": "kandy"}]}],
+		"teams": [{"name": "guides", "rate": 1000, "burst": 100, "keys": [%q]}],
+		"routes": [
+			{"name": "species", "method": "GET", "prefix": "/species", "service": "fieldbook", "idempotent": true},
+			{"name": "scarce", "method": "POST", "prefix": "/scarce", "service": "fieldbook"},
+			{"name": "open", "prefix": "/open", "service": "fieldbook", "open": true}]}`, target, keyer.Digest(testKey))
+	m, err := decoder.Manifest([]byte(text), manifester.NoVersion)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := publisher.New(streamer.NewClient(logBase)).Publish(context.Background(), m); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func call(t *testing.T, address, method, path, key string) string {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+address+path, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if key != "" {
+		req.Header.Set("Lagoonkeel-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return fmt.Sprintf("%d outcome=%q %s", resp.StatusCode, resp.Header.Get("Lagoonkeel-Outcome"), bytes.TrimSpace(body))
+}
--- /dev/null
+++ b/internal/commander/cmd_standin.go
@@ -0,0 +1,103 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/standin"
+)
+
+var cmdStandinLog = command{
+	name:    "log",
+	line:    "Run a stand-in of the platform's append-only log, in memory.",
+	example: "  lagoonkeel-standin log --listen 127.0.0.1:7000",
+	flags:   listenFlag,
+	action: func(ctx context.Context, c *cobra.Command, _ []string) error {
+		return runStandin(ctx, c, standin.NewLog().Handler())
+	},
+}
+
+var cmdStandinVMs = command{
+	name:    "vms",
+	line:    "Run a stand-in of the platform's list of VMs.",
+	example: "  lagoonkeel-standin vms --listen 127.0.0.1:7001",
+	flags:   listenFlag,
+	action: func(ctx context.Context, c *cobra.Command, _ []string) error {
+		return runStandin(ctx, c, standin.NewVMs().Handler())
+	},
+}
+
+var cmdStandinUpstream = command{
+	name:    "upstream",
+	line:    "Run a stand-in of one upstream target.",
+	example: "  lagoonkeel-standin upstream --listen 127.0.0.1:9001 --name bookings-1",
+	flags: func(c *cobra.Command) {
+		listenFlag(c)
+		c.Flags().String("name", "upstream", "name that the target puts into its answers")
+		c.Flags().Int("slots", standin.DefaultSlots, "requests that the target runs at once")
+	},
+	action: func(ctx context.Context, c *cobra.Command, _ []string) error {
+		name, err := c.Flags().GetString("name")
+		if err != nil {
+			return usage(errors.Wrap(err, "reading --name"))
+		}
+		slots, err := c.Flags().GetInt("slots")
+		if err != nil {
+			return usage(errors.Wrap(err, "reading --slots"))
+		}
+
+		return runStandin(ctx, c, standin.NewUpstream(name, slots).Handler())
+	},
+}
+
+var cmdStandinCaller = command{
+	name:    "caller PLAN",
+	line:    "Send a bounded load and write the count of each outcome as JSON.",
+	example: "  lagoonkeel-standin caller plan.json",
+	args:    cobra.ExactArgs(1),
+	action: func(ctx context.Context, c *cobra.Command, args []string) error {
+		data, err := readFile(args[0])
+		if err != nil {
+			return err
+		}
+		plan, err := standin.ParsePlan(data)
+		if err != nil {
+			return usage(errors.Wrap(err, "reading the plan"))
+		}
+		report, err := standin.NewCaller(plan).Run(ctx)
+		if err != nil {
+			return errors.Wrap(err, "sending the load")
+		}
+		text, err := report.JSON()
+		if err != nil {
+			return errors.Wrap(err, "encoding the report")
+		}
+		_, err = fmt.Fprintln(c.OutOrStdout(), string(text))
+
+		return errors.Wrap(err, "writing the report")
+	},
+}
+
+func listenFlag(c *cobra.Command) {
+	c.Flags().String("listen", "127.0.0.1:0", "IP address and port to listen on")
+}
+
+func runStandin(ctx context.Context, c *cobra.Command, h standin.Handler) error {
+	address, err := c.Flags().GetString("listen")
+	if err != nil {
+		return usage(errors.Wrap(err, "reading --listen"))
+	}
+	s, err := standin.Listen(address, h)
+	if err != nil {
+		return errors.Wrap(err, "starting the stand-in")
+	}
+	if _, err := fmt.Fprintf(os.Stdout, "listening %s\n", s.Address()); err != nil {
+		return errors.Wrap(err, "writing the address")
+	}
+
+	return errors.Wrap(s.Run(ctx), "running the stand-in")
+}
--- /dev/null
+++ b/internal/commander/commander.go
@@ -0,0 +1,144 @@
+// Package commander holds the commands of the programs, one file each.
+package commander
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// The exit codes of the programs.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// command is one subcommand.
+type command struct {
+	// name is how it is called, with its arguments.
+	name string
+	// line describes it in one line.
+	line    string
+	example string
+	// action does the work; options are set up by flags.
+	action func(ctx context.Context, c *cobra.Command, args []string) error
+	flags  func(c *cobra.Command)
+	args   cobra.PositionalArgs
+	// children are the subcommands of a group, which has no action.
+	children []command
+}
+
+// UsageError reports a command line or an input that cannot be used.
+type UsageError struct {
+	cause error
+}
+
+// Error implements error.
+func (e *UsageError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UsageError) Unwrap() error { return e.cause }
+
+func usage(err error) error {
+	return &UsageError{
+		cause: err,
+	}
+}
+
+// Lagoonkeel runs the lagoonkeel program and returns its exit code.
+func Lagoonkeel(args []string) int {
+	return run("lagoonkeel", "A proxy fleet before upstreams with gray failures.", args,
+		cmdServe, cmdCheck, cmdPublish, cmdStatus, cmdKey, cmdVersion)
+}
+
+// Standin runs the lagoonkeel-standin program and returns its exit code.
+func Standin(args []string) int {
+	return run("lagoonkeel-standin", "Small stand-ins of the platform, for tests and demos.", args,
+		cmdStandinLog, cmdStandinVMs, cmdStandinUpstream, cmdStandinCaller)
+}
+
+func run(name, line string, args []string, commands ...command) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cobra.Command{
+		Use:           name,
+		Short:         line,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return usage(err)
+	})
+	for _, c := range commands {
+		root.AddCommand(c.build())
+	}
+	root.SetArgs(args)
+	err := root.ExecuteContext(ctx)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+	}
+
+	return exitCode(err)
+}
+
+func (c command) build() *cobra.Command {
+	b := &cobra.Command{
+		Use:     c.name,
+		Short:   c.line,
+		Example: c.example,
+	}
+	if c.args == nil {
+		c.args = cobra.NoArgs
+	}
+	b.Args = func(b *cobra.Command, args []string) error {
+		if err := c.args(b, args); err != nil {
+			return usage(errors.Wrapf(err, "see `%s --help`", b.CommandPath()))
+		}
+
+		return nil
+	}
+	if c.action != nil {
+		b.RunE = func(b *cobra.Command, args []string) error {
+			return c.action(b.Context(), b, args)
+		}
+	}
+	if c.flags != nil {
+		c.flags(b)
+	}
+	for _, child := range c.children {
+		b.AddCommand(child.build())
+	}
+
+	return b
+}
+
+func exitCode(err error) int {
+	var u *UsageError
+	var f manifester.Faults
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &u), errors.As(err, &f):
+		return exitUsage
+	default:
+		return exitFailed
+	}
+}
+
+// readFile reads an input file named on the command line.
+func readFile(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usage(errors.Wrap(err, "reading the file"))
+	}
+
+	return data, nil
+}
--- /dev/null
+++ b/internal/configurer/configurer.go
@@ -0,0 +1,125 @@
+// Package configurer holds the settings of one VM's process. They name its
+// addresses and the platform; what the fleet does is declared in the manifest.
+package configurer
+
+import "github.com/lagoonkeel/lagoonkeel/internal/logger"
+
+// Settings are the checked settings of a process.
+type Settings struct {
+	id         string
+	dataCentre string
+	region     string
+	// callers, peers and operators are the IP addresses and ports to listen on.
+	callers   string
+	peers     string
+	operators string
+	// logBase and listBase are the base addresses of the platform's services.
+	logBase  string
+	listBase string
+	// maxBody bounds a request's body in bytes.
+	maxBody   int
+	logFormat logger.Format
+	tracing   Tracing
+}
+
+// Exporter names where spans go.
+type Exporter string
+
+// The exporters.
+const (
+	ExporterOff   Exporter = "off"
+	ExporterLines Exporter = "jsonl"
+	ExporterOTLP  Exporter = "otlp"
+)
+
+// Tracing holds the settings of traces.
+type Tracing struct {
+	exporter Exporter
+	// endpoint is the collector's URL for OTLP, or the file for JSON lines.
+	endpoint string
+	// sample is the share of requests that are traced, from 0 to 1.
+	sample float64
+}
+
+// NewTracing returns the settings of traces.
+func NewTracing(e Exporter, endpoint string, sample float64) Tracing {
+	return Tracing{
+		exporter: e,
+		endpoint: endpoint,
+		sample:   sample,
+	}
+}
+
+// Exporter returns where spans go.
+func (t Tracing) Exporter() Exporter { return t.exporter }
+
+// Endpoint returns the collector's URL or the file.
+func (t Tracing) Endpoint() string { return t.endpoint }
+
+// Sample returns the share of requests that are traced.
+func (t Tracing) Sample() float64 { return t.sample }
+
+// Spec lists the settings of a process.
+type Spec struct {
+	ID         string
+	DataCentre string
+	Region     string
+	Callers    string
+	Peers      string
+	Operators  string
+	LogBase    string
+	ListBase   string
+	MaxBody    int
+	LogFormat  logger.Format
+	Tracing    Tracing
+}
+
+// New returns settings.
+func New(s Spec) *Settings {
+	return &Settings{
+		id:         s.ID,
+		dataCentre: s.DataCentre,
+		region:     s.Region,
+		callers:    s.Callers,
+		peers:      s.Peers,
+		operators:  s.Operators,
+		logBase:    s.LogBase,
+		listBase:   s.ListBase,
+		maxBody:    s.MaxBody,
+		logFormat:  s.LogFormat,
+		tracing:    s.Tracing,
+	}
+}
+
+// ID returns the VM's name.
+func (s *Settings) ID() string { return s.id }
+
+// DataCentre returns the VM's data centre.
+func (s *Settings) DataCentre() string { return s.dataCentre }
+
+// Region returns the VM's region.
+func (s *Settings) Region() string { return s.region }
+
+// Callers returns the address of the callers' listener.
+func (s *Settings) Callers() string { return s.callers }
+
+// Peers returns the address of the peers' listener.
+func (s *Settings) Peers() string { return s.peers }
+
+// Operators returns the address of the operators' listener.
+func (s *Settings) Operators() string { return s.operators }
+
+// LogBase returns the base address of the log service.
+func (s *Settings) LogBase() string { return s.logBase }
+
+// ListBase returns the base address of the VM list.
+func (s *Settings) ListBase() string { return s.listBase }
+
+// MaxBody returns the bound of a request's body in bytes.
+func (s *Settings) MaxBody() int { return s.maxBody }
+
+// LogFormat returns the format of log lines.
+func (s *Settings) LogFormat() logger.Format { return s.logFormat }
+
+// Tracing returns the settings of traces.
+func (s *Settings) Tracing() Tracing { return s.tracing }
--- /dev/null
+++ b/internal/decoder/decoder_test.go
@@ -0,0 +1,80 @@
+package decoder_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// TestFaults reads every input below testdata/NAME and compares the faults with
+// the golden file of the same name.
+func TestFaults(t *testing.T) {
+	decode := map[string]func([]byte) error{
+		"manifest": func(data []byte) error {
+			_, err := decoder.Manifest(data, manifester.NoVersion)
+
+			return err
+		},
+		"settings": func(data []byte) error {
+			_, err := decoder.Settings(data)
+
+			return err
+		},
+	}
+	for kind, f := range decode {
+		inputs, err := filepath.Glob(filepath.Join("testdata", kind, "*.json"))
+		if err != nil || len(inputs) == 0 {
+			t.Fatalf("no inputs for %s: %v", kind, err)
+		}
+		for _, in := range inputs {
+			name := strings.TrimSuffix(filepath.Base(in), ".json")
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				data, err := os.ReadFile(in)
+				if err != nil {
+					t.Fatal(err)
+				}
+				golden(t, kind+"/"+name, f(data))
+			})
+		}
+	}
+}
+
+func golden(t *testing.T, name string, err error) {
+	t.Helper()
+	text := "accepted\n"
+	if err != nil {
+		var f manifester.Faults
+		if !errors.As(err, &f) {
+			t.Fatalf("the error has type %T, want manifester.Faults", err)
+		}
+		text = f.Error() + "\n"
+	}
+	goldie.New(t).Assert(t, name, []byte(text))
+}
+
+// TestHostileDocuments covers inputs that are no use as readable files.
+func TestHostileDocuments(t *testing.T) {
+	inputs := map[string]string{
+		"empty":       "",
+		"truncated":   `{"services": [`,
+		"not-utf8":    "{\"services\": \"\xff\"}",
+		"deep":        strings.Repeat("[", 10000),
+		"trailing":    "{} {}",
+		"duplicate":   `{"teams": [], "teams": []}`,
+		"array":       "[]",
+		"just-a-word": "nonsense",
+	}
+	for name, in := range inputs {
+		t.Run(name, func(t *testing.T) {
+			_, err := decoder.Manifest([]byte(in), manifester.NoVersion)
+			golden(t, "hostile/"+name, err)
+		})
+	}
+}
--- /dev/null
+++ b/internal/decoder/manifest.go
@@ -0,0 +1,128 @@
+package decoder
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+const (
+	maxSlots       = 1 << 16
+	maxConnections = 1 << 20
+	maxRate        = 1e9
+	maxTimeout     = time.Hour
+	defaultTimeout = 10 * time.Second
+	// defaultSlots and defaultConnections describe a target that states
+	// neither.
+	defaultSlots       = 4
+	defaultConnections = 400
+)
+
+// Manifest reads a manifest document. The error is manifester.Faults.
+func Manifest(data []byte, version manifester.Version) (*manifester.Manifest, error) {
+	r, c, err := openRoot(data)
+	if err != nil {
+		return nil, err
+	}
+	services := readAll(r, "services", readService)
+	teams := readAll(r, "teams", readTeam)
+	routes := readAll(r, "routes", readRoute)
+	r.close()
+	m, err := manifester.Restore(version, services, teams, routes)
+	if faults, ok := err.(manifester.Faults); ok { //nolint:errorlint // Restore returns this type unwrapped.
+		c.faults = append(c.faults, faults...)
+	}
+	if err := c.err(); err != nil {
+		return nil, err
+	}
+
+	return m, nil
+}
+
+// Change reads the record of a published change. The error is
+// manifester.Faults.
+func Change(data []byte) (*manifester.Change, error) {
+	r, c, err := openRoot(data)
+	if err != nil {
+		return nil, err
+	}
+	spec := manifester.ChangeSpec{
+		ID:             manifester.ChangeID(r.text("id")),
+		Base:           manifester.Version(r.integer("base", int64(manifester.NoVersion), int64(manifester.NoVersion), math.MaxInt64)),
+		Services:       readAll(r, "services", readService),
+		Teams:          readAll(r, "teams", readTeam),
+		Routes:         readAll(r, "routes", readRoute),
+		RemoveServices: r.texts("removeServices"),
+		RemoveTeams:    r.texts("removeTeams"),
+		RemoveRoutes:   r.texts("removeRoutes"),
+	}
+	r.close()
+	if err := c.err(); err != nil {
+		return nil, err
+	}
+
+	return manifester.NewChange(spec), nil
+}
+
+// readAll reads an array of named objects and reports names that stand twice.
+func readAll[T interface{ Name() string }](r *reader, name string, read func(*reader) T) []T {
+	var list []T
+	seen := map[string]bool{}
+	r.objects(name, func(o *reader) {
+		v := read(o)
+		if seen[v.Name()] {
+			o.collector.add(o.at("name"), fmt.Sprintf("the name %q stands twice", v.Name()), "a name of its own for each")
+		}
+		seen[v.Name()] = true
+		list = append(list, v)
+	})
+
+	return list
+}
+
+func readService(r *reader) *manifester.Service {
+	var targets []*manifester.Target
+	name := r.text("name")
+	class := manifester.Class(r.text("class"))
+	floor := r.integer("floor", 0, 0, math.MaxInt32)
+	r.objects("targets", func(o *reader) {
+		targets = append(targets, readTarget(o))
+	})
+
+	return manifester.NewService(name, class, int(floor), targets)
+}
+
+func readTarget(r *reader) *manifester.Target {
+	return manifester.NewTarget(manifester.TargetSpec{
+		Name:        r.text("name"),
+		Address:     r.text("address"),
+		DataCentre:  r.text("dataCentre"),
+		Slots:       int(r.integer("slots", defaultSlots, 1, maxSlots)),
+		Connections: int(r.integer("connections", defaultConnections, 1, maxConnections)),
+		Leaving:     r.flag("leaving"),
+	})
+}
+
+func readTeam(r *reader) *manifester.Team {
+	return manifester.NewTeam(
+		r.text("name"),
+		r.number("rate", 0, maxRate),
+		r.number("burst", 0, maxRate),
+		r.number("weight", 1, maxRate),
+		r.texts("keys"),
+	)
+}
+
+func readRoute(r *reader) *manifester.Route {
+	return manifester.NewRoute(manifester.RouteSpec{
+		Name:       r.text("name"),
+		Method:     r.optionalText("method", manifester.AnyMethod),
+		Prefix:     r.text("prefix"),
+		Service:    r.text("service"),
+		Open:       r.flag("open"),
+		Idempotent: r.flag("idempotent"),
+		Timeout:    r.millis("timeoutMs", defaultTimeout, 0, maxTimeout),
+	})
+}
--- /dev/null
+++ b/internal/decoder/settings.go
@@ -0,0 +1,106 @@
+package decoder
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+)
+
+const (
+	defaultMaxBody = 1 << 20
+	largestMaxBody = 64 << 20
+	maxPort        = 1<<16 - 1
+)
+
+// Settings reads a settings document. The error is manifester.Faults.
+func Settings(data []byte) (*configurer.Settings, error) {
+	r, c, err := openRoot(data)
+	if err != nil {
+		return nil, err
+	}
+	spec := configurer.Spec{
+		ID:         r.filled("id"),
+		DataCentre: r.filled("dataCentre"),
+		Region:     r.filled("region"),
+		MaxBody:    int(r.integer("maxBodyBytes", defaultMaxBody, 1, largestMaxBody)),
+		LogFormat:  logger.Format(r.choice("logFormat", string(logger.FormatLogfmt), string(logger.FormatJSON))),
+	}
+	r.object("listen", func(o *reader) {
+		spec.Callers = o.address("callers")
+		spec.Peers = o.address("peers")
+		spec.Operators = o.address("operators")
+	})
+	r.object("platform", func(o *reader) {
+		spec.LogBase = o.base("log")
+		spec.ListBase = o.base("vms")
+	})
+	r.object("traces", func(o *reader) {
+		spec.Tracing = readTracing(o)
+	})
+	r.close()
+	if err := c.err(); err != nil {
+		return nil, err
+	}
+
+	return configurer.New(spec), nil
+}
+
+func readTracing(r *reader) configurer.Tracing {
+	exporter := configurer.Exporter(r.choice("exporter",
+		string(configurer.ExporterOff), string(configurer.ExporterLines), string(configurer.ExporterOTLP)))
+	endpoint := r.optionalText("endpoint", "")
+	if exporter != configurer.ExporterOff && endpoint == "" {
+		r.collector.add(r.at("endpoint"), "the endpoint is missing", "a file for jsonl, or a URL for otlp")
+	}
+
+	return configurer.NewTracing(exporter, endpoint, r.number("sample", 0, 1))
+}
+
+// filled takes a required string that is not empty.
+func (r *reader) filled(name string) string {
+	s := r.text(name)
+	if s == "" {
+		if _, ok := r.take(name); ok {
+			r.collector.add(r.at(name), "the value is empty", "a name")
+		}
+	}
+
+	return s
+}
+
+// address takes a required IP address and port.
+func (r *reader) address(name string) string {
+	const accept = "an IP address and port such as 10.0.0.1:8080"
+	v, ok := r.require(name, accept)
+	if !ok {
+		return ""
+	}
+	s := r.asText(name, v)
+	host, port, err := net.SplitHostPort(s)
+	n, convErr := strconv.Atoi(port)
+	if err != nil || convErr != nil || net.ParseIP(host) == nil || n < 0 || n > maxPort {
+		r.collector.add(r.at(name), fmt.Sprintf("%q is not an address", s), accept)
+	}
+
+	return s
+}
+
+// base takes a required http URL of a service.
+func (r *reader) base(name string) string {
+	const accept = "a URL such as http://10.0.0.9:7000"
+	v, ok := r.require(name, accept)
+	if !ok {
+		return ""
+	}
+	s := r.asText(name, v)
+	u, err := url.Parse(s)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		r.collector.add(r.at(name), fmt.Sprintf("%q is not a URL", s), accept)
+	}
+
+	return s
+}
--- /dev/null
+++ b/internal/filterer/route.go
@@ -0,0 +1,50 @@
+package filterer
+
+import (
+	"context"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// Route finds the route and service of a request, and refuses callers without
+// a valid key unless the route is open to all.
+type Route struct{}
+
+// NewRoute returns the filter.
+func NewRoute() *Route {
+	return &Route{}
+}
+
+// Name returns the filter's name.
+func (r *Route) Name() string { return "route" }
+
+// Handle finds the route.
+func (r *Route) Handle(ctx context.Context, x *handler.Exchange, next handler.Handler) error {
+	route, match := x.Manifest().FindRoute(x.Request().Method(), x.Request().Path())
+	switch match {
+	case manifester.MatchNone:
+		return handler.NewRefusal(handler.CodeNoRoute, "no route matches the path")
+	case manifester.MatchOtherMethod:
+		return handler.NewRefusal(handler.CodeNoMethod, "the path takes other methods")
+	case manifester.MatchFound:
+	}
+	if !route.Open() && x.Team() == nil {
+		return missingKey(x)
+	}
+	service, ok := x.Manifest().Service(route.Service())
+	if !ok {
+		return handler.NewRefusal(handler.CodeInternal, "the route has no service")
+	}
+	x.SetRoute(route, service)
+
+	return next.Serve(ctx, x)
+}
+
+func missingKey(x *handler.Exchange) error {
+	if x.KeyDigest() == "" {
+		return handler.NewRefusal(handler.CodeKeyMissing, "the route needs a key; send it in "+KeyField)
+	}
+
+	return handler.NewRefusal(handler.CodeKeyUnknown, "the key is not valid or was withdrawn")
+}
--- /dev/null
+++ b/internal/follower/state.go
@@ -0,0 +1,76 @@
+// Package follower keeps the manifest in force: it follows the configuration
+// stream of the log and publishes each accepted version by read-copy-update.
+package follower
+
+import (
+	"fmt"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/recorder"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// DecodeChange reads the change in a record.
+type DecodeChange func(data []byte) (*manifester.Change, error)
+
+// State decides which records count. Every VM that applies the same records in
+// the same order comes to the same manifest. It does no I/O and belongs to one
+// goroutine.
+type State struct {
+	manifest *manifester.Manifest
+	// next is the offset of the next record to apply.
+	next   recorder.Offset
+	decode DecodeChange
+}
+
+// NewState returns the state before the first record.
+func NewState(decode DecodeChange) *State {
+	return &State{
+		manifest: manifester.Empty(),
+		decode:   decode,
+	}
+}
+
+// Manifest returns the manifest in force.
+func (s *State) Manifest() *manifester.Manifest { return s.manifest }
+
+// Next returns the offset of the next record to apply.
+func (s *State) Next() recorder.Offset { return s.next }
+
+// GapError reports a record that is not the next one.
+type GapError struct {
+	next recorder.Offset
+	got  recorder.Offset
+}
+
+// Error implements error.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("record %d is missing before record %d", e.next, e.got)
+}
+
+// Apply takes the next record. A record that was applied before is ignored. It
+// returns the change if the record counts; the error tells why it does not. A
+// *GapError leaves the state as it was; after any other error the record is
+// skipped.
+func (s *State) Apply(r recorder.Record) (*manifester.Change, error) {
+	if r.Offset() < s.next {
+		return nil, nil //nolint:nilnil // Neither a change nor a fault.
+	}
+	if r.Offset() > s.next {
+		return nil, &GapError{
+			next: s.next,
+			got:  r.Offset(),
+		}
+	}
+	s.next++
+	c, err := s.decode(r.Data())
+	if err != nil {
+		return nil, err
+	}
+	m, err := s.manifest.Apply(c, manifester.Version(r.Offset()))
+	if err != nil {
+		return nil, err
+	}
+	s.manifest = m
+
+	return c, nil
+}
--- /dev/null
+++ b/internal/handler/exchange.go
@@ -0,0 +1,96 @@
+package handler
+
+import (
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// Exchange is one request on its way through the chain, with what the filters
+// have found out about it. It belongs to one goroutine at a time.
+type Exchange struct {
+	request  *Request
+	response *Response
+	// arrived is when the request had been read.
+	arrived timer.Instant
+	// deadline is when the answer must be ready; 0 until the deadline filter ran.
+	deadline timer.Instant
+	// manifest is the configuration that this exchange is decided by; it does
+	// not change while the exchange lasts.
+	manifest *manifester.Manifest
+	team     *manifester.Team
+	// keyDigest is the digest of the caller's key; "" without one.
+	keyDigest string
+	route     *manifester.Route
+	service   *manifester.Service
+	target    *manifester.Target
+	// tried lists the targets of earlier attempts.
+	tried []string
+}
+
+// NewExchange returns the exchange of a request that arrived at the instant.
+func NewExchange(request *Request, arrived timer.Instant) *Exchange {
+	return &Exchange{
+		request: request,
+		arrived: arrived,
+	}
+}
+
+// Request returns the caller's request.
+func (x *Exchange) Request() *Request { return x.request }
+
+// Response returns the answer, or nil while there is none.
+func (x *Exchange) Response() *Response { return x.response }
+
+// SetResponse stores the answer.
+func (x *Exchange) SetResponse(r *Response) { x.response = r }
+
+// Arrived returns when the request had been read.
+func (x *Exchange) Arrived() timer.Instant { return x.arrived }
+
+// Deadline returns when the answer must be ready, or 0 if none is set.
+func (x *Exchange) Deadline() timer.Instant { return x.deadline }
+
+// SetDeadline stores when the answer must be ready.
+func (x *Exchange) SetDeadline(t timer.Instant) { x.deadline = t }
+
+// Manifest returns the configuration by which the exchange is decided.
+func (x *Exchange) Manifest() *manifester.Manifest { return x.manifest }
+
+// SetManifest fixes the configuration by which the exchange is decided.
+func (x *Exchange) SetManifest(m *manifester.Manifest) { x.manifest = m }
+
+// Team returns the team whose key came with the request, or nil.
+func (x *Exchange) Team() *manifester.Team { return x.team }
+
+// SetTeam stores the authenticated team and the digest of its key.
+func (x *Exchange) SetTeam(t *manifester.Team, keyDigest string) {
+	x.team = t
+	x.keyDigest = keyDigest
+}
+
+// KeyDigest returns the digest of the caller's key, or "".
+func (x *Exchange) KeyDigest() string { return x.keyDigest }
+
+// Route returns the route of the request, or nil.
+func (x *Exchange) Route() *manifester.Route { return x.route }
+
+// Service returns the service of the request, or nil.
+func (x *Exchange) Service() *manifester.Service { return x.service }
+
+// SetRoute stores the route and its service.
+func (x *Exchange) SetRoute(r *manifester.Route, s *manifester.Service) {
+	x.route = r
+	x.service = s
+}
+
+// Target returns the target of the present attempt, or nil.
+func (x *Exchange) Target() *manifester.Target { return x.target }
+
+// SetTarget stores the target of the present attempt.
+func (x *Exchange) SetTarget(t *manifester.Target) {
+	x.target = t
+	x.tried = append(x.tried, t.Name())
+}
+
+// Tried returns the names of the targets tried so far.
+func (x *Exchange) Tried() []string { return x.tried }
--- /dev/null
+++ b/internal/handler/message.go
@@ -0,0 +1,140 @@
+package handler
+
+import "strings"
+
+// Field is one header field.
+type Field struct {
+	name  string
+	value string
+}
+
+// Name returns the field's name as received.
+func (f Field) Name() string { return f.name }
+
+// Value returns the field's value.
+func (f Field) Value() string { return f.value }
+
+// Fields is an ordered list of header fields. Names compare without case.
+type Fields struct {
+	list []Field
+}
+
+// Add appends a field.
+func (f *Fields) Add(name, value string) {
+	f.list = append(f.list, Field{
+		name:  name,
+		value: value,
+	})
+}
+
+// Set replaces every field of the name by one.
+func (f *Fields) Set(name, value string) {
+	f.Remove(name)
+	f.Add(name, value)
+}
+
+// Get returns the first value of the name, or "".
+func (f *Fields) Get(name string) string {
+	for i := range f.list {
+		if strings.EqualFold(f.list[i].name, name) {
+			return f.list[i].value
+		}
+	}
+
+	return ""
+}
+
+// Count returns how many fields have the name.
+func (f *Fields) Count(name string) int {
+	n := 0
+	for i := range f.list {
+		if strings.EqualFold(f.list[i].name, name) {
+			n++
+		}
+	}
+
+	return n
+}
+
+// Remove deletes every field of the name.
+func (f *Fields) Remove(name string) {
+	f.RemoveWhere(func(d Field) bool {
+		return strings.EqualFold(d.name, name)
+	})
+}
+
+// RemoveWhere deletes every field for which drop returns true.
+func (f *Fields) RemoveWhere(drop func(Field) bool) {
+	kept := f.list[:0]
+	for _, d := range f.list {
+		if !drop(d) {
+			kept = append(kept, d)
+		}
+	}
+	f.list = kept
+}
+
+// All returns the fields in order. The caller must not change them.
+func (f *Fields) All() []Field {
+	return f.list
+}
+
+// Request is a caller's request, read whole.
+type Request struct {
+	method string
+	// path is the decoded path; it starts with "/".
+	path string
+	// query is the raw query without "?".
+	query  string
+	fields Fields
+	body   []byte
+}
+
+// NewRequest returns a request without header fields.
+func NewRequest(method, path, query string, body []byte) *Request {
+	return &Request{
+		method: method,
+		path:   path,
+		query:  query,
+		body:   body,
+	}
+}
+
+// Method returns the request method.
+func (r *Request) Method() string { return r.method }
+
+// Path returns the path.
+func (r *Request) Path() string { return r.path }
+
+// Query returns the raw query.
+func (r *Request) Query() string { return r.query }
+
+// Fields returns the header fields, which the caller may change.
+func (r *Request) Fields() *Fields { return &r.fields }
+
+// Body returns the body.
+func (r *Request) Body() []byte { return r.body }
+
+// Response is a whole answer.
+type Response struct {
+	status int
+	fields Fields
+	body   []byte
+}
+
+// NewResponse returns an answer without header fields.
+func NewResponse(status int, body []byte) *Response {
+	return &Response{
+		status: status,
+		body:   body,
+	}
+}
+
+// Status returns the HTTP status.
+func (r *Response) Status() int { return r.status }
+
+// Fields returns the header fields, which the caller may change.
+func (r *Response) Fields() *Fields { return &r.fields }
+
+// Body returns the body.
+func (r *Response) Body() []byte { return r.body }
--- /dev/null
+++ b/internal/handler/refusal.go
@@ -0,0 +1,139 @@
+package handler
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Outcome tells a caller whether its request may have run.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	// OutcomeNotRun means that no byte of the request reached an upstream, or
+	// that the upstream itself said that it did not run the request.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// OutcomeField is the header field that carries the outcome of every answer
+// that an upstream did not make.
+const OutcomeField = "Lagoonkeel-Outcome"
+
+// Code is the stable identifier of a kind of refusal.
+type Code string
+
+// The kinds of refusal.
+const (
+	CodeInternal       Code = "internal"
+	CodeNotReady       Code = "not-ready"
+	CodeBadRequest     Code = "bad-request"
+	CodeTooLarge       Code = "too-large"
+	CodeNoRoute        Code = "no-route"
+	CodeNoMethod       Code = "method-not-allowed"
+	CodeKeyMissing     Code = "key-missing"
+	CodeKeyUnknown     Code = "key-unknown"
+	CodeKeyMisplaced   Code = "key-misplaced"
+	CodeKeysStale      Code = "keys-stale"
+	CodeNotAllowed     Code = "team-not-allowed"
+	CodeOverRate       Code = "over-rate"
+	CodeOverload       Code = "overload"
+	CodeNoTarget       Code = "no-target"
+	CodeConnect        Code = "upstream-connect"
+	CodeUpstream       Code = "upstream-failed"
+	CodeShed           Code = "upstream-shed"
+	CodeTimeout        Code = "timeout"
+	CodeQuarantined    Code = "quarantined"
+	CodeClaimed        Code = "already-sent"
+	CodeClaimMismatch  Code = "idempotency-key-reused"
+	CodeClaimsUnusable Code = "claims-unavailable"
+)
+
+// statuses maps each code to its HTTP status.
+var statuses = map[Code]int{
+	CodeInternal:       http.StatusInternalServerError,
+	CodeNotReady:       http.StatusServiceUnavailable,
+	CodeBadRequest:     http.StatusBadRequest,
+	CodeTooLarge:       http.StatusRequestEntityTooLarge,
+	CodeNoRoute:        http.StatusNotFound,
+	CodeNoMethod:       http.StatusMethodNotAllowed,
+	CodeKeyMissing:     http.StatusUnauthorized,
+	CodeKeyUnknown:     http.StatusUnauthorized,
+	CodeKeyMisplaced:   http.StatusBadRequest,
+	CodeKeysStale:      http.StatusServiceUnavailable,
+	CodeNotAllowed:     http.StatusForbidden,
+	CodeOverRate:       http.StatusTooManyRequests,
+	CodeOverload:       http.StatusServiceUnavailable,
+	CodeNoTarget:       http.StatusServiceUnavailable,
+	CodeConnect:        http.StatusBadGateway,
+	CodeUpstream:       http.StatusBadGateway,
+	CodeShed:           http.StatusServiceUnavailable,
+	CodeTimeout:        http.StatusGatewayTimeout,
+	CodeQuarantined:    http.StatusServiceUnavailable,
+	CodeClaimed:        http.StatusConflict,
+	CodeClaimMismatch:  http.StatusUnprocessableEntity,
+	CodeClaimsUnusable: http.StatusServiceUnavailable,
+}
+
+// Status returns the HTTP status of the code.
+func (c Code) Status() int {
+	if s, ok := statuses[c]; ok {
+		return s
+	}
+
+	return http.StatusInternalServerError
+}
+
+// Refusal is the typed error of a request that got no answer from an upstream.
+type Refusal struct { //nolint:errname // The field's word for an answer of our own making.
+	code    Code
+	reason  string
+	outcome Outcome
+	// retryAfter is 0 where the caller is given no waiting time.
+	retryAfter time.Duration
+}
+
+// NewRefusal returns a refusal of a request that did not run.
+func NewRefusal(code Code, reason string) *Refusal {
+	return &Refusal{
+		code:    code,
+		reason:  reason,
+		outcome: OutcomeNotRun,
+	}
+}
+
+// NewUnknown returns the refusal of a request that may have run.
+func NewUnknown(code Code, reason string) *Refusal {
+	return &Refusal{
+		code:    code,
+		reason:  reason,
+		outcome: OutcomeUnknown,
+	}
+}
+
+// WithRetryAfter returns a copy that tells the caller how long to wait.
+func (r *Refusal) WithRetryAfter(d time.Duration) *Refusal {
+	c := *r
+	c.retryAfter = d
+
+	return &c
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s", r.code, r.reason)
+}
+
+// Code returns the kind of refusal.
+func (r *Refusal) Code() Code { return r.code }
+
+// Reason returns the text for the caller; it holds no secret.
+func (r *Refusal) Reason() string { return r.reason }
+
+// Outcome tells whether the request may have run.
+func (r *Refusal) Outcome() Outcome { return r.outcome }
+
+// RetryAfter returns how long the caller should wait, or 0.
+func (r *Refusal) RetryAfter() time.Duration { return r.retryAfter }
--- /dev/null
+++ b/internal/listener/listener.go
@@ -0,0 +1,160 @@
+// Package listener is the HTTP/1.1 front end towards callers. It turns bytes
+// into exchanges and passes them to the chain.
+package listener
+
+import (
+	"context"
+	"math"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/encoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+)
+
+const (
+	// headerTimeout bounds the reading of one request.
+	headerTimeout = 10 * time.Second
+	writeTimeout  = 30 * time.Second
+	idleTimeout   = time.Minute
+	// headerBytes bounds the header of a request.
+	headerBytes = 16 << 10
+	// stopTimeout bounds how long a planned stop waits for open requests.
+	stopTimeout = time.Minute
+)
+
+type clock interface {
+	Now() timer.Instant
+}
+
+// Listener serves callers.
+type Listener struct {
+	chain  handler.Handler
+	clock  clock
+	ln     net.Listener
+	server *fasthttp.Server
+	// base is the context of every request; set once by Run.
+	base context.Context //nolint:containedctx // Requests outlive the call that starts the server.
+}
+
+// New returns a front end on the listener that passes exchanges to the chain.
+func New(ln net.Listener, chain handler.Handler, maxBody int, c clock) *Listener {
+	l := &Listener{
+		chain: chain,
+		clock: c,
+		ln:    ln,
+		base:  context.Background(),
+	}
+	l.server = &fasthttp.Server{
+		Handler:                      l.serve,
+		ErrorHandler:                 l.reject,
+		ReadTimeout:                  headerTimeout,
+		WriteTimeout:                 writeTimeout,
+		IdleTimeout:                  idleTimeout,
+		ReadBufferSize:               headerBytes,
+		MaxRequestBodySize:           maxBody,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		DisablePreParseMultipartForm: true,
+		CloseOnShutdown:              true,
+		Logger:                       silent{},
+	}
+
+	return l
+}
+
+// silent drops fasthttp's own log lines, which have no event number.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+// Name returns the controller's name.
+func (l *Listener) Name() string { return "listener" }
+
+// Address returns the address that callers reach.
+func (l *Listener) Address() string { return l.ln.Addr().String() }
+
+// Run serves callers until ctx ends, then answers every open request.
+func (l *Listener) Run(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() {
+		failed <- l.server.Serve(l.ln)
+	}()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serving callers")
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+
+	return errors.Wrap(l.server.ShutdownWithContext(stop), "stopping the callers' listener")
+}
+
+func (l *Listener) serve(c *fasthttp.RequestCtx) {
+	x := handler.NewExchange(request(c), l.clock.Now())
+	if err := l.chain.Serve(l.base, x); err != nil {
+		l.refuse(c, err)
+
+		return
+	}
+	l.answer(c, x.Response())
+}
+
+func request(c *fasthttp.RequestCtx) *handler.Request {
+	r := handler.NewRequest(
+		string(c.Method()),
+		string(c.URI().Path()),
+		string(c.URI().QueryString()),
+		append([]byte(nil), c.Request.Body()...),
+	)
+	for k, v := range c.Request.Header.All() {
+		r.Fields().Add(string(k), string(v))
+	}
+
+	return r
+}
+
+func (l *Listener) answer(c *fasthttp.RequestCtx, r *handler.Response) {
+	c.Response.SetStatusCode(r.Status())
+	for _, f := range r.Fields().All() {
+		c.Response.Header.Add(f.Name(), f.Value())
+	}
+	c.Response.SetBodyRaw(r.Body())
+}
+
+// reject answers a request whose framing was not valid and closes the
+// connection.
+func (l *Listener) reject(c *fasthttp.RequestCtx, err error) {
+	code := handler.CodeBadRequest
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) || errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		code = handler.CodeTooLarge
+	}
+	c.SetConnectionClose()
+	l.refuse(c, handler.NewRefusal(code, "the request could not be read"))
+}
+
+func (l *Listener) refuse(c *fasthttp.RequestCtx, err error) {
+	var r *handler.Refusal
+	if !errors.As(err, &r) {
+		r = handler.NewUnknown(handler.CodeInternal, "the request failed inside the fleet")
+	}
+	body, err := encoder.Refusal(r)
+	if err != nil {
+		body = nil
+	}
+	c.Response.SetStatusCode(r.Code().Status())
+	c.Response.Header.SetContentType("application/json")
+	c.Response.Header.Set(handler.OutcomeField, string(r.Outcome()))
+	if w := r.RetryAfter(); w > 0 {
+		c.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(w.Seconds()))))
+	}
+	c.Response.SetBodyRaw(body)
+}
--- /dev/null
+++ b/internal/logger/logger.go
@@ -0,0 +1,105 @@
+// Package logger writes numbered events. The catalogue of events is
+// docs/EVENTS.md. No event carries a key, a digest or a body.
+package logger
+
+import (
+	"io"
+	"time"
+
+	kitlog "github.com/go-kit/log"
+)
+
+// Level tells how much attention an event needs.
+type Level string
+
+// The levels.
+const (
+	// LevelInfo events tell of normal operation.
+	LevelInfo Level = "info"
+	// LevelWarn events tell of a fault that the fleet copes with.
+	LevelWarn Level = "warn"
+	// LevelAlarm events need an operator.
+	LevelAlarm Level = "alarm"
+)
+
+// Format is the encoding of log lines.
+type Format string
+
+// The formats.
+const (
+	FormatLogfmt Format = "logfmt"
+	FormatJSON   Format = "json"
+)
+
+// Attribute is one named value of an event.
+type Attribute struct {
+	name  string
+	value any
+}
+
+// Text returns a string attribute.
+func Text(name, value string) Attribute {
+	return Attribute{
+		name:  name,
+		value: value,
+	}
+}
+
+// Int returns a whole-number attribute.
+func Int(name string, value int64) Attribute {
+	return Attribute{
+		name:  name,
+		value: value,
+	}
+}
+
+// Millis returns a duration attribute in milliseconds.
+func Millis(name string, d time.Duration) Attribute {
+	return Attribute{
+		name:  name + "Ms",
+		value: d.Milliseconds(),
+	}
+}
+
+// Failure returns the attribute of an error.
+func Failure(err error) Attribute {
+	return Attribute{
+		name:  "error",
+		value: err.Error(),
+	}
+}
+
+// Logger writes events. It is safe for concurrent use.
+type Logger struct {
+	out kitlog.Logger
+}
+
+// New returns a logger that writes lines of the format, each with the VM's id.
+func New(w io.Writer, format Format, vm string) *Logger {
+	w = kitlog.NewSyncWriter(w)
+	out := kitlog.NewLogfmtLogger(w)
+	if format == FormatJSON {
+		out = kitlog.NewJSONLogger(w)
+	}
+
+	return &Logger{
+		out: kitlog.With(out, "time", kitlog.DefaultTimestampUTC, "vm", vm),
+	}
+}
+
+// Discard returns a logger that drops every event.
+func Discard() *Logger {
+	return &Logger{
+		out: kitlog.NewNopLogger(),
+	}
+}
+
+// Log writes one event.
+func (l *Logger) Log(e Event, attributes ...Attribute) {
+	pairs := make([]any, 0, 6+2*len(attributes))
+	pairs = append(pairs, "level", string(e.level), "event", e.number, "name", e.name)
+	for _, a := range attributes {
+		pairs = append(pairs, a.name, a.value)
+	}
+	_ = l.out.Log(pairs...) // A log that cannot be written must not stop the fleet.
+}
--- /dev/null
+++ b/internal/standin/upstream.go
@@ -0,0 +1,196 @@
+package standin
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// DefaultSlots is the number of requests that a target runs at once.
+	DefaultSlots = 4
+	// defaultWork is the time that a request takes.
+	defaultWork = 5 * time.Millisecond
+	// queueFactor bounds the waiting requests, as a multiple of the slots.
+	queueFactor  = 4
+	maxBodyBytes = 1 << 20
+)
+
+// UpstreamFaults are the faults of a target, as set by PUT /_standin/faults.
+type UpstreamFaults struct {
+	// WorkMs is the time that a request takes; 0 means the usual time.
+	WorkMs int `json:"workMs"`
+	// SlowShare of the requests take SlowMs instead.
+	SlowShare float64 `json:"slowShare"`
+	SlowMs    int     `json:"slowMs"`
+	// ErrorShare of the requests fail with status 500.
+	ErrorShare float64 `json:"errorShare"`
+	// Hang leaves every request without an answer.
+	Hang bool `json:"hang"`
+	// Drain refuses new requests and says so.
+	Drain bool `json:"drain"`
+}
+
+// Run is the record of one request that a target ran.
+type Run struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	// Token is the caller's mark, from the field Test-Token.
+	Token string `json:"token"`
+	// Fields are all header fields that the target saw.
+	Fields map[string][]string `json:"fields"`
+}
+
+// Upstream is a stand-in of one target.
+type Upstream struct {
+	name  string
+	slots chan struct{}
+	mu    sync.Mutex
+	// waiting is the number of requests without a slot.
+	waiting int
+	faults  UpstreamFaults
+	runs    []Run
+}
+
+// NewUpstream returns a target with the given slots.
+func NewUpstream(name string, slots int) *Upstream {
+	return &Upstream{
+		name:  name,
+		slots: make(chan struct{}, slots),
+	}
+}
+
+// Handler returns the HTTP interface: everything below /_standin is the
+// stand-in's own.
+func (u *Upstream) Handler() Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /_standin/faults", u.setFaults)
+	mux.HandleFunc("GET /_standin/runs", u.listRuns)
+	mux.HandleFunc("/", u.serve)
+
+	return mux
+}
+
+// SetFaults switches the faults.
+func (u *Upstream) SetFaults(f UpstreamFaults) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.faults = f
+}
+
+// Runs returns the record of every request that ran.
+func (u *Upstream) Runs() []Run {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	return append([]Run{}, u.runs...)
+}
+
+func (u *Upstream) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f UpstreamFaults
+	if readJSON(w, r, &f) {
+		u.SetFaults(f)
+	}
+}
+
+func (u *Upstream) listRuns(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, u.Runs())
+}
+
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	f, admitted := u.enter()
+	if f.Drain || !admitted {
+		state := "shed"
+		if f.Drain {
+			state = "draining"
+		}
+		w.Header().Set("Upstream-State", state)
+		http.Error(w, state, http.StatusServiceUnavailable)
+
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		u.leave()
+
+		return
+	}
+	u.slots <- struct{}{}
+	u.leave()
+	defer func() { <-u.slots }()
+	u.record(r)
+	u.work(w, r, f, body)
+}
+
+// enter counts a request that waits for a slot, unless too many wait.
+func (u *Upstream) enter() (UpstreamFaults, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.faults.Drain || u.waiting >= queueFactor*cap(u.slots) {
+		return u.faults, false
+	}
+	u.waiting++
+
+	return u.faults, true
+}
+
+func (u *Upstream) leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.waiting--
+}
+
+func (u *Upstream) record(r *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs = append(u.runs, Run{
+		Method: r.Method,
+		Path:   r.URL.RequestURI(),
+		Token:  r.Header.Get("Test-Token"),
+		Fields: r.Header,
+	})
+}
+
+func (u *Upstream) work(w http.ResponseWriter, r *http.Request, f UpstreamFaults, body []byte) {
+	d := defaultWork
+	if f.WorkMs > 0 {
+		d = time.Duration(f.WorkMs) * time.Millisecond
+	}
+	if rand.Float64() < f.SlowShare { //nolint:gosec // A stand-in needs no secret.
+		d = time.Duration(f.SlowMs) * time.Millisecond
+	}
+	if f.Hang {
+		<-r.Context().Done()
+
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-r.Context().Done():
+		return
+	}
+	if rand.Float64() < f.ErrorShare { //nolint:gosec // A stand-in needs no secret.
+		http.Error(w, "failed", http.StatusInternalServerError)
+
+		return
+	}
+	w.Header().Set("Test-Target", u.name)
+	w.Header().Set("Test-Token", r.Header.Get("Test-Token"))
+	writeJSON(w, echoJSON{
+		Target: u.name,
+		Method: r.Method,
+		Path:   r.URL.RequestURI(),
+		Token:  r.Header.Get("Test-Token"),
+		Bytes:  len(body),
+	})
+}
+
+type echoJSON struct {
+	Target string `json:"target"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Token  string `json:"token"`
+	Bytes  int    `json:"bytes"`
+}
--- /dev/null
+++ b/internal/standin/vms.go
@@ -0,0 +1,99 @@
+package standin
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// VMEntry is one entry of the list.
+type VMEntry struct {
+	ID         string `json:"id"`
+	Role       string `json:"role"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	Leaving    bool   `json:"leaving"`
+}
+
+// version is the list from an instant on.
+type version struct {
+	since time.Time
+	list  []VMEntry
+}
+
+// VMs is a stand-in of the platform's list, which may lag.
+type VMs struct {
+	mu sync.Mutex
+	// versions is never empty and ordered by time.
+	versions []version
+	lag      time.Duration
+}
+
+// NewVMs returns an empty list without lag.
+func NewVMs() *VMs {
+	return &VMs{
+		versions: []version{
+			{
+				list: []VMEntry{},
+			},
+		},
+	}
+}
+
+// Handler returns the HTTP interface: GET and PUT /vms, PUT /faults.
+func (v *VMs) Handler() Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /vms", v.get)
+	mux.HandleFunc("PUT /vms", v.put)
+	mux.HandleFunc("PUT /faults", v.faults)
+
+	return mux
+}
+
+// Set replaces the list; readers see it once the lag has passed.
+func (v *VMs) Set(list []VMEntry) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.versions = append(v.versions, version{
+		since: time.Now(),
+		list:  list,
+	})
+}
+
+func (v *VMs) get(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, v.visible(time.Now()))
+}
+
+// visible returns the newest list that is older than the lag, and drops those
+// before it.
+func (v *VMs) visible(now time.Time) []VMEntry {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for len(v.versions) > 1 && now.Sub(v.versions[1].since) >= v.lag {
+		v.versions = v.versions[1:]
+	}
+
+	return v.versions[0].list
+}
+
+func (v *VMs) put(w http.ResponseWriter, r *http.Request) {
+	var list []VMEntry
+	if readJSON(w, r, &list) {
+		v.Set(list)
+	}
+}
+
+// VMsFaults are the faults of the list, as set by PUT /faults.
+type VMsFaults struct {
+	LagMs int `json:"lagMs"`
+}
+
+func (v *VMs) faults(w http.ResponseWriter, r *http.Request) {
+	var f VMsFaults
+	if !readJSON(w, r, &f) {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.lag = time.Duration(f.LagMs) * time.Millisecond
+}
--- /dev/null
+++ b/internal/timer/queue.go
@@ -0,0 +1,90 @@
+package timer
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Subscription delivers the instants at which one subscriber is due.
+type Subscription struct {
+	// due has room for one instant: a slow subscriber misses ticks and is
+	// never sent a backlog.
+	due chan Instant
+	// next is the instant of the next delivery; guarded by the service's lock.
+	next Instant
+	// period is 0 for a subscription that fires once.
+	period time.Duration
+	// index is the position in the queue, or -1 outside it.
+	index  int
+	cancel func(*Subscription)
+}
+
+// Due returns the channel on which due instants arrive.
+func (s *Subscription) Due() <-chan Instant {
+	return s.due
+}
+
+// Stop ends the subscription. It is safe to call more than once.
+func (s *Subscription) Stop() {
+	s.cancel(s)
+}
+
+// queue orders subscriptions by their next instant.
+type queue []*Subscription
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i].next < q[j].next }
+
+func (q queue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index = i
+	q[j].index = j
+}
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) {
+	s, ok := x.(*Subscription)
+	if !ok {
+		return
+	}
+	s.index = len(*q)
+	*q = append(*q, s)
+}
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	old := *q
+	s := old[len(old)-1]
+	old[len(old)-1] = nil
+	s.index = -1
+	*q = old[:len(old)-1]
+
+	return s
+}
+
+// fire delivers now to every subscription that is due and schedules the
+// periodic ones again.
+func (q *queue) fire(now Instant) {
+	for q.Len() > 0 && !(*q)[0].next.After(now) {
+		s := (*q)[0]
+		select {
+		case s.due <- now:
+		default:
+		}
+		if s.period == 0 {
+			heap.Pop(q)
+
+			continue
+		}
+		for !s.next.After(now) {
+			s.next = s.next.Add(s.period)
+		}
+		heap.Fix(q, 0)
+	}
+}
+
+func (q *queue) remove(s *Subscription) {
+	if s.index >= 0 {
+		heap.Remove(q, s.index)
+	}
+}
--- /dev/null
+++ b/pkg/manifester/manifest.go
@@ -0,0 +1,165 @@
+package manifester
+
+import (
+	"sort"
+	"strings"
+)
+
+// Version is the log offset of the record that brought a manifest into force.
+// NoVersion comes before every record.
+type Version int64
+
+// NoVersion is the version of the empty manifest.
+const NoVersion Version = -1
+
+// AnyMethod matches every request method.
+const AnyMethod = "*"
+
+// Manifest is one version of the declared state, with the indexes that
+// requests are decided by.
+type Manifest struct {
+	version  Version
+	services map[string]*Service
+	teams    map[string]*Team
+	routes   map[string]*Route
+	// teamsByKey maps a key digest to its team; no digest has two teams.
+	teamsByKey map[string]*Team
+	// byPrefix holds the routes of each prefix; a request is matched by
+	// looking its path up segment by segment, the longest prefix first.
+	byPrefix map[string][]*Route
+}
+
+// Empty returns the manifest in force before the first record.
+func Empty() *Manifest {
+	return build(NoVersion, nil, nil, nil)
+}
+
+func build(v Version, services map[string]*Service, teams map[string]*Team, routes map[string]*Route) *Manifest {
+	m := &Manifest{
+		version:    v,
+		services:   services,
+		teams:      teams,
+		routes:     routes,
+		teamsByKey: map[string]*Team{},
+		byPrefix:   map[string][]*Route{},
+	}
+	for _, t := range teams {
+		for _, d := range t.keyDigests {
+			m.teamsByKey[d] = t
+		}
+	}
+	for _, r := range routes {
+		m.byPrefix[r.prefix] = append(m.byPrefix[r.prefix], r)
+	}
+
+	return m
+}
+
+// Version returns the version.
+func (m *Manifest) Version() Version { return m.version }
+
+// Service returns the service of the name.
+func (m *Manifest) Service(name string) (*Service, bool) {
+	s, ok := m.services[name]
+
+	return s, ok
+}
+
+// Team returns the team of the name.
+func (m *Manifest) Team(name string) (*Team, bool) {
+	t, ok := m.teams[name]
+
+	return t, ok
+}
+
+// TeamOfKey returns the team that holds the key digest.
+func (m *Manifest) TeamOfKey(digest string) (*Team, bool) {
+	t, ok := m.teamsByKey[digest]
+
+	return t, ok
+}
+
+// Services returns all services ordered by name.
+func (m *Manifest) Services() []*Service {
+	return sorted(m.services)
+}
+
+// Teams returns all teams ordered by name.
+func (m *Manifest) Teams() []*Team {
+	return sorted(m.teams)
+}
+
+// Routes returns all routes ordered by name.
+func (m *Manifest) Routes() []*Route {
+	return sorted(m.routes)
+}
+
+// Match is the result of a route lookup.
+type Match int
+
+// The results of a route lookup.
+const (
+	// MatchNone means that no route has a prefix of the path.
+	MatchNone Match = iota
+	// MatchOtherMethod means that routes match the path, but not the method.
+	MatchOtherMethod
+	// MatchFound means that a route matches.
+	MatchFound
+)
+
+// FindRoute returns the route with the longest prefix of the path that takes
+// the method. A route of the exact method goes before one of any method.
+func (m *Manifest) FindRoute(method, path string) (*Route, Match) {
+	match := MatchNone
+	for prefix := path; prefix != ""; prefix = parentPrefix(prefix) {
+		routes := m.byPrefix[prefix]
+		if len(routes) == 0 {
+			continue
+		}
+		if r := methodRoute(routes, method); r != nil {
+			return r, MatchFound
+		}
+		match = MatchOtherMethod
+	}
+
+	return nil, match
+}
+
+// parentPrefix cuts the last segment: "/a/b" to "/a" to "/" to "".
+func parentPrefix(path string) string {
+	if path == "/" {
+		return ""
+	}
+	i := strings.LastIndexByte(path, '/')
+	if i <= 0 {
+		return "/"
+	}
+
+	return path[:i]
+}
+
+func methodRoute(routes []*Route, method string) *Route {
+	var fallback *Route
+	for _, r := range routes {
+		if r.method == method {
+			return r
+		}
+		if r.method == AnyMethod {
+			fallback = r
+		}
+	}
+
+	return fallback
+}
+
+func sorted[T interface{ Name() string }](m map[string]T) []T {
+	list := make([]T, 0, len(m))
+	for _, v := range m {
+		list = append(list, v)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		return list[i].Name() < list[j].Name()
+	})
+
+	return list
+}
