Grant each team's rate across the fleet

Every VM admitted a fixed 1/N of a team's rate, which refuses skewed traffic and overshoots while the VM list lags. Each team now has one to three slots, each with one holder; VMs borrow tokens on demand or in short-lived lots. A holder holds back rate x lifetime of its burst and a new one starts empty.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -46,9 +46,14 @@
 	return false, time.Duration((n - b.tokens) / b.rate * float64(time.Second))
 }
 
+type clock interface {
+	Now() timer.Instant
+}
+
 // Share admits a fixed part of each team's rate on this VM alone. It is the
 // baseline that fleet-wide admission is measured against.
 type Share struct {
+	clock clock
 	// members returns the number of VMs that share each rate; at least 1.
 	members func() int
 	mu      sync.Mutex
@@ -56,17 +61,19 @@
 }
 
 // NewShare returns an admitter that grants 1/members of each rate.
-func NewShare(members func() int) *Share {
+func NewShare(c clock, members func() int) *Share {
 	return &Share{
+		clock:   c,
 		members: members,
 		buckets: map[string]*Bucket{},
 	}
 }
 
 // Admit takes one request of the team's rate.
-func (s *Share) Admit(_ context.Context, now timer.Instant, team *manifester.Team) (admitted bool, wait time.Duration) {
+func (s *Share) Admit(_ context.Context, _ timer.Instant, team *manifester.Team) (admitted bool, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.clock.Now()
 	n := float64(s.members())
 	b, ok := s.buckets[team.Name()]
 	if !ok {
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
@@ -40,6 +39,7 @@
 	watcher  *member.Watcher
 	server   *messenger.Server
 	pool     *messenger.Pool
+	rates    *rates
 	listener *listener.Listener
 	// operators serves readiness, status and metrics.
 	operators *operators
@@ -68,6 +68,10 @@
 	v.follower = follower.New(streamer.NewClient(s.LogBase()), decoder.Change, v.timers, l)
 	self := member.NewVM(member.ID(s.ID()), 0, open.peers.Addr().String(), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
+	v.rates, err = newRates(v)
+	if err != nil {
+		return nil, err
+	}
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
 	v.operators = newOperators(open.operators, v)
 
@@ -103,7 +107,7 @@
 		filterer.NewScrub(),
 		filterer.NewRoute(),
 		filterer.NewDeadline(),
-		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
+		filterer.NewAdmit(v.rates.borrower),
 		filterer.NewPick(picker.NewRandom(), v.timers),
 		filterer.NewForward(forwarder.NewTransport(v.timers)),
 	)
@@ -135,7 +139,8 @@
 		logger.Text("peers", v.settings.Peers()),
 		logger.Text("operators", v.settings.Operators()))
 	start := v.timers.Now()
-	err := supervisor.Run(ctx, v.timers, v.follower, v.watcher, v.server, v.listener, v.operators)
+	err := supervisor.Run(ctx, v.timers, v.follower, v.watcher, v.server, v.rates.granter, v.listener, v.operators)
+	err = errors.CombineErrors(err, v.rates.borrower.Close())
 	if err != nil {
 		v.logger.Log(logger.Failed, logger.Failure(err))
 
--- a/internal/filterer/admit.go
+++ b/internal/filterer/admit.go
@@ -10,22 +10,21 @@
 )
 
 type admitter interface {
-	// Admit takes one request of the team's rate. Where it is refused, wait is
-	// the time after which another try may pass.
-	Admit(ctx context.Context, now timer.Instant, team *manifester.Team) (admitted bool, wait time.Duration)
+	// Admit takes one request of the team's rate; it may wait for a part of the
+	// time to the deadline. Where it is refused, wait is the time after which
+	// another try may pass.
+	Admit(ctx context.Context, deadline timer.Instant, team *manifester.Team) (admitted bool, wait time.Duration)
 }
 
 // Admit refuses requests over the team's rate and burst.
 type Admit struct {
 	admitter admitter
-	clock    clock
 }
 
 // NewAdmit returns the filter.
-func NewAdmit(a admitter, c clock) *Admit {
+func NewAdmit(a admitter) *Admit {
 	return &Admit{
 		admitter: a,
-		clock:    c,
 	}
 }
 
@@ -38,7 +37,7 @@
 	if x.Team() == nil {
 		return next.Serve(ctx, x)
 	}
-	admitted, wait := a.admitter.Admit(ctx, a.clock.Now(), x.Team())
+	admitted, wait := a.admitter.Admit(ctx, x.Deadline(), x.Team())
 	if !admitted {
 		return handler.NewRefusal(handler.CodeOverRate, "the team is over its rate").WithRetryAfter(wait)
 	}
--- /dev/null
+++ b/internal/granter/ledger_test.go
@@ -0,0 +1,152 @@
+package granter_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/granter"
+	"github.com/lagoonkeel/lagoonkeel/internal/keyer"
+	"github.com/lagoonkeel/lagoonkeel/internal/member"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+func team(rate, burst float64) *manifester.Team {
+	return manifester.NewTeam("guides", rate, burst, 1, []string{keyer.Digest("lk_test")})
+}
+
+func manifest(t *testing.T, teams ...*manifester.Team) *manifester.Manifest {
+	t.Helper()
+	m, err := manifester.Restore(0, nil, teams, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return m
+}
+
+// TestPlans compares the division of limits into slots with the golden file.
+func TestPlans(t *testing.T) {
+	var out strings.Builder
+	for _, c := range []struct{ rate, burst float64 }{
+		{1, 1},
+		{10, 1},
+		{100, 1},
+		{100, 2},
+		{100, 10},
+		{50, 100},
+		{1000, 100},
+		{1000, 5000},
+	} {
+		p := granter.PlanOf(team(c.rate, c.burst))
+		fmt.Fprintf(&out, "rate %v burst %v: slots %d, each rate %.3f capacity %.3f lifetime %v\n",
+			c.rate, c.burst, p.Slots(), p.Rate(), p.Capacity(), p.Lifetime())
+		held := p.Capacity() + p.Rate()*p.Lifetime().Seconds()
+		if most := c.burst / float64(p.Slots()); p.Capacity() > 1 && held > most {
+			t.Errorf("rate %v burst %v: capacity and held-back tokens are %v of %v", c.rate, c.burst, held, most)
+		}
+	}
+	goldie.New(t).Assert(t, "plans", []byte(out.String()))
+}
+
+// step is one entry of a ledger's transcript.
+type step struct {
+	at   time.Duration
+	term uint64
+	// limits, if set, come into force before the ask.
+	rate, burst  float64
+	slot         int
+	needed, more int
+}
+
+// TestLedger compares the decisions of a ledger with the golden transcripts.
+func TestLedger(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"term", []step{
+			{at: 0, term: 1, rate: 10, burst: 4, needed: 1},
+			{at: 200 * time.Millisecond, term: 1, needed: 3},
+			{at: 5 * time.Second, term: 1, needed: 5},
+			{at: 5 * time.Second, term: 2, needed: 1},
+			{at: 5100 * time.Millisecond, term: 2, needed: 1},
+			{at: 9 * time.Second, term: 2, needed: 1, more: 9},
+			{at: 9 * time.Second, term: 2, slot: 1, needed: 1},
+		}},
+		{"raise", []step{
+			{at: 0, term: 1, rate: 10, burst: 6, needed: 0},
+			{at: 5 * time.Second, term: 1, needed: 10},
+			{at: 5 * time.Second, term: 1, rate: 40, burst: 3, needed: 1},
+			{at: 5100 * time.Millisecond, term: 1, needed: 1},
+			{at: 5300 * time.Millisecond, term: 1, needed: 9},
+			{at: 9 * time.Second, term: 1, needed: 9},
+		}},
+		{"lower", []step{
+			{at: 0, term: 1, rate: 40, burst: 6, needed: 0},
+			{at: 5 * time.Second, term: 1, rate: 10, burst: 3, needed: 9},
+			{at: 5100 * time.Millisecond, term: 1, needed: 9},
+		}},
+		{"grow", []step{
+			{at: 0, term: 1, rate: 10, burst: 10, needed: 0},
+			{at: 5 * time.Second, term: 1, rate: 10, burst: 20, needed: 20},
+			{at: 5 * time.Second, term: 1, slot: 1, needed: 9},
+			{at: 14 * time.Second, term: 1, slot: 1, needed: 9},
+			{at: 15 * time.Second, term: 1, slot: 1, needed: 9},
+			{at: 16 * time.Second, term: 1, slot: 1, needed: 9},
+		}},
+		{"shrink", []step{
+			{at: 0, term: 1, rate: 10, burst: 20, needed: 0},
+			{at: 5 * time.Second, term: 1, rate: 10, burst: 10, needed: 20},
+			{at: 14 * time.Second, term: 1, needed: 20},
+			{at: 14 * time.Second, term: 1, slot: 1, needed: 20},
+			{at: 15 * time.Second, term: 1, needed: 20},
+			{at: 25 * time.Second, term: 1, needed: 20},
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			goldie.New(t).Assert(t, c.name, []byte(transcript(t, c.steps)))
+		})
+	}
+}
+
+func transcript(t *testing.T, steps []step) string {
+	t.Helper()
+	var out strings.Builder
+	l := granter.NewLedger()
+	for _, s := range steps {
+		now := timer.Instant(0).Add(s.at)
+		if s.rate > 0 {
+			l.Configure(now, manifest(t, team(s.rate, s.burst)))
+			fmt.Fprintf(&out, "%v limits rate %v burst %v\n", s.at, s.rate, s.burst)
+		}
+		r := l.Grant(now, member.NewTerm(s.term, 1), granter.NewAsk("guides", s.slot, s.needed, s.more))
+		fmt.Fprintf(&out, "%v term %d slot %d needs %d+%d: state %d tokens %d lifetime %v wait %v\n",
+			s.at, s.term, s.slot, s.needed, s.more, r.State(), r.Tokens(), r.Lifetime(), r.Wait().Round(time.Millisecond))
+	}
+
+	return out.String()
+}
+
+// TestRemovedTeam checks that a team that is removed and comes back gets no
+// second burst.
+func TestRemovedTeam(t *testing.T) {
+	l := granter.NewLedger()
+	term := member.NewTerm(1, 1)
+	l.Configure(0, manifest(t, team(1, 4)))
+	l.Grant(0, term, granter.NewAsk("guides", 0, 0, 0))
+	at := timer.Instant(0).Add(time.Minute)
+	first := l.Grant(at, term, granter.NewAsk("guides", 0, 9, 0)).Tokens()
+	l.Configure(at, manifest(t))
+	if s := l.Grant(at, term, granter.NewAsk("guides", 0, 1, 0)).State(); s != granter.StateUnknownSlot {
+		t.Errorf("a removed team's ask ended in state %d", s)
+	}
+	l.Configure(at, manifest(t, team(1, 4)))
+	if second := l.Grant(at, term, granter.NewAsk("guides", 0, 9, 0)).Tokens(); first == 0 || second != 0 {
+		t.Errorf("%d tokens were granted, and %d after the team came back; want some, then 0", first, second)
+	}
+}
