Serve the whole path by separate processes, and give proofs a harness

Cause: what must always hold can only be shown under kills, freezes and cuts of real processes. The harness starts the programs on loopback, stands a relay before each peer listener and between each VM and the log, and ends by id what it started. A VM can advertise another peer address than it listens on.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -66,7 +66,7 @@
 		pool:     messenger.NewPool(),
 	}
 	v.follower = follower.New(streamer.NewClient(s.LogBase()), decoder.Change, v.timers, l)
-	self := member.NewVM(member.ID(s.ID()), 0, open.peers.Addr().String(), s.DataCentre())
+	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
 	v.operators = newOperators(open.operators, v)
@@ -74,6 +74,15 @@
 	return v, nil
 }
 
+// advertised returns the address at which other VMs reach this one.
+func advertised(s *configurer.Settings, peers net.Listener) string {
+	if s.Advertised() != "" {
+		return s.Advertised()
+	}
+
+	return peers.Addr().String()
+}
+
 func listen(s *configurer.Settings) (*sockets, error) {
 	open := &sockets{}
 	config := net.ListenConfig{}
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -13,6 +13,8 @@
 	callers   string
 	peers     string
 	operators string
+	// advertised is the address at which other VMs reach the peers' listener.
+	advertised string
 	// logBase and listBase are the base addresses of the platform's services.
 	logBase  string
 	listBase string
@@ -67,6 +69,7 @@
 	Callers    string
 	Peers      string
 	Operators  string
+	Advertised string
 	LogBase    string
 	ListBase   string
 	MaxBody    int
@@ -83,6 +86,7 @@
 		callers:    s.Callers,
 		peers:      s.Peers,
 		operators:  s.Operators,
+		advertised: s.Advertised,
 		logBase:    s.LogBase,
 		listBase:   s.ListBase,
 		maxBody:    s.MaxBody,
@@ -106,6 +110,10 @@
 // Peers returns the address of the peers' listener.
 func (s *Settings) Peers() string { return s.peers }
 
+// Advertised returns the address at which other VMs reach the peers' listener,
+// or "" where that is the address of the listener itself.
+func (s *Settings) Advertised() string { return s.advertised }
+
 // Operators returns the address of the operators' listener.
 func (s *Settings) Operators() string { return s.operators }
 
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -33,6 +33,7 @@
 		spec.Callers = o.address("callers")
 		spec.Peers = o.address("peers")
 		spec.Operators = o.address("operators")
+		spec.Advertised = o.optionalAddress("peersAdvertised")
 	})
 	r.object("platform", func(o *reader) {
 		spec.LogBase = o.base("log")
@@ -74,16 +75,33 @@
 
 // address takes a required IP address and port.
 func (r *reader) address(name string) string {
-	const accept = "an IP address and port such as 10.0.0.1:8080"
-	v, ok := r.require(name, accept)
+	v, ok := r.require(name, acceptAddress)
 	if !ok {
 		return ""
 	}
+
+	return r.asAddress(name, v)
+}
+
+// optionalAddress takes an IP address and port, or "" where it is missing.
+func (r *reader) optionalAddress(name string) string {
+	v, ok := r.take(name)
+	if !ok {
+		return ""
+	}
+
+	return r.asAddress(name, v)
+}
+
+// acceptAddress tells what is taken as an address.
+const acceptAddress = "an IP address and port such as 10.0.0.1:8080"
+
+func (r *reader) asAddress(name string, v any) string {
 	s := r.asText(name, v)
 	host, port, err := net.SplitHostPort(s)
 	n, convErr := strconv.Atoi(port)
 	if err != nil || convErr != nil || net.ParseIP(host) == nil || n < 0 || n > maxPort {
-		r.collector.add(r.at(name), fmt.Sprintf("%q is not an address", s), accept)
+		r.collector.add(r.at(name), fmt.Sprintf("%q is not an address", s), acceptAddress)
 	}
 
 	return s
--- /dev/null
+++ b/internal/prover/fleet_test.go
@@ -0,0 +1,280 @@
+package prover
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/standin"
+)
+
+// fleetSpec tells what to start.
+type fleetSpec struct {
+	vms int
+	// upstreams maps each service to its number of targets.
+	upstreams map[string]int
+}
+
+// fleet is a running fleet with its platform and upstreams, each a process.
+type fleet struct {
+	t       *testing.T
+	logAddr string
+	log     *process
+	vmsAddr string
+	vms     []*vm
+	targets map[string][]*upstreamProcess
+	// leaving holds the upstream addresses that the list shows as leaving.
+	leaving map[string]bool
+	// unlisted holds the VMs that the list does not name.
+	unlisted map[string]bool
+}
+
+// vm is one VM's process with relays before its peer listener and before the
+// log as it sees it.
+type vm struct {
+	*process
+	id        string
+	callers   string
+	peers     string
+	operators string
+	// toPeers stands before the peer listener: every other VM comes through it.
+	toPeers *relay
+	// toLog stands between this VM and the log.
+	toLog *relay
+}
+
+// upstreamProcess is one target's process.
+type upstreamProcess struct {
+	*process
+	name    string
+	address string
+}
+
+// startFleet starts the platform, the upstreams and the VMs.
+func startFleet(t *testing.T, s fleetSpec) *fleet {
+	t.Helper()
+	f := &fleet{
+		t:        t,
+		logAddr:  freeAddress(t),
+		vmsAddr:  freeAddress(t),
+		targets:  map[string][]*upstreamProcess{},
+		leaving:  map[string]bool{},
+		unlisted: map[string]bool{},
+	}
+	f.log = startProcess(t, "log", "lagoonkeel-standin", "log", "--listen", f.logAddr)
+	startProcess(t, "vms", "lagoonkeel-standin", "vms", "--listen", f.vmsAddr)
+	for service, n := range s.upstreams {
+		for i := range n {
+			f.startUpstream(service, fmt.Sprintf("%s-%d", service, i+1))
+		}
+	}
+	waitFor(t, "the log and the list answer", func() bool {
+		var v any
+
+		return getJSON("http://"+f.logAddr+"/streams/config/records?from=0", &v) == nil &&
+			getJSON("http://"+f.vmsAddr+"/vms", &v) == nil
+	})
+	for range s.vms {
+		f.addVM()
+	}
+
+	return f
+}
+
+// ready waits until every VM is ready at its operators' listener.
+func (f *fleet) ready() {
+	f.t.Helper()
+	for _, v := range f.vms {
+		waitFor(f.t, v.id+" is ready", v.isReady)
+	}
+}
+
+func (f *fleet) startUpstream(service, name string) {
+	f.t.Helper()
+	u := &upstreamProcess{
+		name:    name,
+		address: freeAddress(f.t),
+	}
+	u.process = startProcess(f.t, name, "lagoonkeel-standin", "upstream", "--listen", u.address, "--name", name)
+	waitFor(f.t, name+" answers", func() bool {
+		var v any
+
+		return getJSON("http://"+u.address+"/_standin/runs", &v) == nil
+	})
+	f.targets[service] = append(f.targets[service], u)
+}
+
+// addVM starts one more VM and puts it on the platform's list.
+func (f *fleet) addVM() *vm {
+	f.t.Helper()
+	v := &vm{
+		id:        "vm-" + strconv.Itoa(len(f.vms)+1),
+		callers:   freeAddress(f.t),
+		peers:     freeAddress(f.t),
+		operators: freeAddress(f.t),
+	}
+	v.toPeers = startRelay(f.t, v.peers)
+	v.toLog = startRelay(f.t, f.logAddr)
+	v.process = startProcess(f.t, v.id, "lagoonkeel", "serve", f.settings(v))
+	f.vms = append(f.vms, v)
+	f.list()
+
+	return v
+}
+
+func (f *fleet) settings(v *vm) string {
+	f.t.Helper()
+	text, err := json.Marshal(map[string]any{
+		"id":         v.id,
+		"dataCentre": "kandy",
+		"region":     "central-hills",
+		"listen": map[string]string{
+			"callers":         v.callers,
+			"peers":           v.peers,
+			"peersAdvertised": v.toPeers.address(),
+			"operators":       v.operators,
+		},
+		"platform": map[string]string{
+			"log": "http://" + v.toLog.address(),
+			"vms": "http://" + f.vmsAddr,
+		},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	path := filepath.Join(f.t.TempDir(), v.id+".json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+
+	return path
+}
+
+// list puts the present VMs and upstreams on the platform's list.
+func (f *fleet) list() {
+	f.t.Helper()
+	entries := []standin.VMEntry{}
+	for _, v := range f.vms {
+		if f.unlisted[v.id] {
+			continue
+		}
+		entries = append(entries, standin.VMEntry{
+			ID:         v.id,
+			Role:       "entry",
+			Address:    v.toPeers.address(),
+			DataCentre: "kandy",
+		})
+	}
+	for _, us := range f.targets {
+		for _, u := range us {
+			entries = append(entries, standin.VMEntry{
+				ID:         u.name,
+				Role:       "upstream",
+				Address:    u.address,
+				DataCentre: "kandy",
+				Leaving:    f.leaving[u.address],
+			})
+		}
+	}
+	putJSON(f.t, "http://"+f.vmsAddr+"/vms", entries)
+}
+
+// logFaults switches the faults of the log for everyone.
+func (f *fleet) logFaults(l standin.LogFaults) {
+	f.t.Helper()
+	putJSON(f.t, "http://"+f.logAddr+"/faults", l)
+}
+
+// faults switches the faults of an upstream.
+func (u *upstreamProcess) faults(t *testing.T, uf standin.UpstreamFaults) {
+	t.Helper()
+	putJSON(t, "http://"+u.address+"/_standin/faults", uf)
+}
+
+// targetsJSON returns the targets of a service for a manifest.
+func (f *fleet) targetsJSON(service string) string {
+	list := make([]string, 0, len(f.targets[service]))
+	for _, u := range f.targets[service] {
+		list = append(list, fmt.Sprintf(`{"name": %q, "address": %q, "dataCentre": "kandy"}`, u.name, u.address))
+	}
+
+	return "[" + strings.Join(list, ", ") + "]"
+}
+
+// publish publishes a manifest with the command line and returns its exit code
+// and output.
+func (f *fleet) publish(manifest string) (code int, output string) {
+	f.t.Helper()
+
+	return command(f.t, "lagoonkeel", "publish", "--log", "http://"+f.logAddr, f.file("manifest.json", manifest))
+}
+
+// mustPublish publishes a manifest and waits until it is in force on every VM.
+func (f *fleet) mustPublish(manifest string) {
+	f.t.Helper()
+	code, output := f.publish(manifest)
+	if code != 0 {
+		f.t.Fatalf("publish exited with %d: %s", code, output)
+	}
+	var version int64
+	if _, err := fmt.Sscanf(output, "version %d", &version); err != nil {
+		f.t.Fatalf("publish printed %q", output)
+	}
+	for _, v := range f.vms {
+		waitFor(f.t, fmt.Sprintf("version %d is in force on %s", version, v.id), func() bool {
+			s, err := v.status()
+
+			return err == nil && s.Version >= version
+		})
+	}
+}
+
+func (f *fleet) file(name, text string) string {
+	f.t.Helper()
+	path := filepath.Join(f.t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+
+	return path
+}
+
+// runs returns the record of every target of a service.
+func (f *fleet) runs(service string) []standin.Run {
+	f.t.Helper()
+	var all []standin.Run
+	for _, u := range f.targets[service] {
+		all = append(all, runsOf(f.t, u.address)...)
+	}
+
+	return all
+}
+
+// vmStatus is the part of a VM's status that proofs read.
+type vmStatus struct {
+	Version int64 `json:"version"`
+	Ready   bool  `json:"ready"`
+	Members int   `json:"members"`
+}
+
+func (v *vm) status() (vmStatus, error) {
+	var s vmStatus
+	err := getJSON("http://"+v.operators+"/status", &s)
+
+	return s, err
+}
+
+func (v *vm) isReady() bool {
+	resp, err := http.Get("http://" + v.operators + "/ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+
+	return resp.StatusCode == http.StatusOK
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -39,6 +39,8 @@
 	Path   string `json:"path"`
 	// Token is the caller's mark, from the field Test-Token.
 	Token string `json:"token"`
+	// AtMicros is when the run began, in microseconds of Unix time.
+	AtMicros int64 `json:"atMicros"`
 	// Fields are all header fields that the target saw.
 	Fields map[string][]string `json:"fields"`
 }
@@ -146,10 +148,11 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.runs = append(u.runs, Run{
-		Method: r.Method,
-		Path:   r.URL.RequestURI(),
-		Token:  r.Header.Get("Test-Token"),
-		Fields: r.Header,
+		Method:   r.Method,
+		Path:     r.URL.RequestURI(),
+		Token:    r.Header.Get("Test-Token"),
+		AtMicros: time.Now().UnixMicro(),
+		Fields:   r.Header,
 	})
 }
 
