Check that the harness induces its faults

Cause: a proof under a fault that never came proves nothing. The harness now shows that freezes, kills, cuts, silence and delay do what they say.

--- /dev/null
+++ b/internal/prover/selfcheck_test.go
@@ -0,0 +1,99 @@
+package prover
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/standin"
+)
+
+// TestHarness checks that the harness induces the faults that proofs rely on.
+func TestHarness(t *testing.T) {
+	f := startFleet(t, fleetSpec{
+		vms: 1,
+		upstreams: map[string]int{
+			"bookings":  1,
+			"fieldbook": 1,
+		},
+	})
+	f.mustPublish(bookingManifest(f))
+	f.ready()
+	v := f.vms[0]
+	quick := &http.Client{
+		Timeout:   500 * time.Millisecond,
+		Transport: &http.Transport{DisableKeepAlives: true},
+	}
+	species := request{path: "/species/amanita", key: guidesKey}
+	expect := func(what string, want bool) {
+		t.Helper()
+		if got := send(quick, v.callers, species).err == nil; got != want {
+			t.Errorf("%s: answered=%v, want %v", what, got, want)
+		}
+	}
+	expect("at rest", true)
+	v.freeze()
+	expect("frozen", false)
+	v.thaw()
+	waitFor(t, "the thawed VM answers", func() bool { return send(quick, v.callers, species).err == nil })
+
+	u := f.targets["fieldbook"][0]
+	u.faults(t, standin.UpstreamFaults{ErrorShare: 1})
+	if a := send(quick, v.callers, species); a.status != http.StatusInternalServerError && a.outcome == "" {
+		t.Errorf("a failing upstream gave %v", a)
+	}
+	u.faults(t, standin.UpstreamFaults{})
+	if n := len(f.runs("fieldbook")); n == 0 {
+		t.Error("no run was recorded")
+	}
+	f.logFaults(standin.LogFaults{Down: true})
+	if code, _ := f.publish(bookingManifest(f)); code != 1 {
+		t.Errorf("publish without a log exited with %d, want 1", code)
+	}
+	f.logFaults(standin.LogFaults{})
+	v.kill()
+	expect("killed", false)
+	v.start()
+	waitFor(t, "the restarted VM is ready", v.isReady)
+}
+
+// TestRelay checks the faults of the relay itself.
+func TestRelay(t *testing.T) {
+	u := standin.NewUpstream("u", standin.DefaultSlots)
+	s, err := standin.Listen("127.0.0.1:0", u.Handler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Run(t.Context()) }()
+	r := startRelay(t, s.Address())
+	call := func(what string, want bool) {
+		t.Helper()
+		c := &http.Client{
+			Timeout:   300 * time.Millisecond,
+			Transport: &http.Transport{DisableKeepAlives: true},
+		}
+		if got := send(c, r.address(), request{path: "/x"}).err == nil; got != want {
+			t.Errorf("%s: answered=%v, want %v", what, got, want)
+		}
+	}
+	call("at rest", true)
+	r.silence(toServer, true)
+	call("requests silenced", false)
+	if n := len(u.Runs()); n != 1 {
+		t.Errorf("%d requests ran, want 1", n)
+	}
+	r.heal()
+	r.silence(toClient, true)
+	call("answers silenced", false)
+	if n := len(u.Runs()); n != 2 {
+		t.Errorf("%d requests ran, want 2", n)
+	}
+	r.heal()
+	r.slow(toClient, time.Second)
+	call("answers delayed", false)
+	r.heal()
+	r.cut()
+	call("cut", false)
+	r.heal()
+	call("healed", true)
+}
