Stop a VM without cutting a request, and refuse doubtful framing

Cause: a stop closed the listener while the balancer still sent to the VM, and the parser took a length beside a transfer coding, folded fields and control characters in a path. Ruled out: closing idle connections first, since the balancer may send on one at that moment.

Change: a planned stop first turns readiness off and asks callers to leave their connections, serves on for stopGraceMs, answers what is open, leaves the fleet, and only then ends the controllers.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -41,6 +41,8 @@
 	server   *messenger.Server
 	pool     *messenger.Pool
 	listener *listener.Listener
+	// stopper runs the listener and the planned stop.
+	stopper *stopper
 	// operators serves readiness, status and metrics.
 	operators *operators
 }
@@ -69,6 +71,12 @@
 	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
+	v.stopper = &stopper{
+		grace:  s.StopGrace(),
+		front:  v.listener,
+		timers: v.timers,
+		logger: l,
+	}
 	v.operators = newOperators(open.operators, v)
 
 	return v, nil
@@ -124,7 +132,7 @@
 
 // Ready reports whether the VM may get callers' requests.
 func (v *VM) Ready() bool {
-	return v.follower.Ready()
+	return v.follower.Ready() && !v.stopper.Stopping()
 }
 
 // Version returns the version of the manifest in force on this VM.
@@ -140,11 +148,15 @@
 // Run serves until ctx ends, then stops gracefully.
 func (v *VM) Run(ctx context.Context) error {
 	v.logger.Log(logger.Started,
-		logger.Text("callers", v.settings.Callers()),
+		logger.Text("callers", v.listener.Address()),
 		logger.Text("peers", v.settings.Peers()),
 		logger.Text("operators", v.settings.Operators()))
 	start := v.timers.Now()
-	err := supervisor.Run(ctx, v.timers, v.follower, v.watcher, v.server, v.listener, v.operators)
+	running, finish := context.WithCancel(context.WithoutCancel(ctx))
+	defer finish()
+	v.stopper.asked = ctx
+	v.stopper.finish = finish
+	err := supervisor.Run(running, v.timers, v.follower, v.watcher, v.server, v.operators, v.stopper)
 	if err != nil {
 		v.logger.Log(logger.Failed, logger.Failure(err))
 
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -2,7 +2,11 @@
 // addresses and the platform; what the fleet does is declared in the manifest.
 package configurer
 
-import "github.com/lagoonkeel/lagoonkeel/internal/logger"
+import (
+	"time"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+)
 
 // Settings are the checked settings of a process.
 type Settings struct {
@@ -19,7 +23,9 @@
 	logBase  string
 	listBase string
 	// maxBody bounds a request's body in bytes.
-	maxBody   int
+	maxBody int
+	// stopGrace is how long a stopping VM serves on while it is not ready.
+	stopGrace time.Duration
 	logFormat logger.Format
 	tracing   Tracing
 }
@@ -73,6 +79,7 @@
 	LogBase    string
 	ListBase   string
 	MaxBody    int
+	StopGrace  time.Duration
 	LogFormat  logger.Format
 	Tracing    Tracing
 }
@@ -90,6 +97,7 @@
 		logBase:    s.LogBase,
 		listBase:   s.ListBase,
 		maxBody:    s.MaxBody,
+		stopGrace:  s.StopGrace,
 		logFormat:  s.LogFormat,
 		tracing:    s.Tracing,
 	}
@@ -126,6 +134,9 @@
 // MaxBody returns the bound of a request's body in bytes.
 func (s *Settings) MaxBody() int { return s.maxBody }
 
+// StopGrace returns how long a stopping VM serves on while it is not ready.
+func (s *Settings) StopGrace() time.Duration { return s.stopGrace }
+
 // LogFormat returns the format of log lines.
 func (s *Settings) LogFormat() logger.Format { return s.logFormat }
 
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
@@ -13,7 +14,11 @@
 const (
 	defaultMaxBody = 1 << 20
 	largestMaxBody = 64 << 20
-	maxPort        = 1<<16 - 1
+	// defaultStopGrace covers a balancer that probes each second and needs
+	// three failures.
+	defaultStopGrace = 4 * time.Second
+	maxStopGrace     = 10 * time.Minute
+	maxPort          = 1<<16 - 1
 )
 
 // Settings reads a settings document. The error is manifester.Faults.
@@ -26,6 +31,7 @@
 		ID:         r.filled("id"),
 		DataCentre: r.filled("dataCentre"),
 		Region:     r.filled("region"),
+		StopGrace:  r.millis("stopGraceMs", defaultStopGrace, 0, maxStopGrace),
 		MaxBody:    int(r.integer("maxBodyBytes", defaultMaxBody, 1, largestMaxBody)),
 		LogFormat:  logger.Format(r.choice("logFormat", string(logger.FormatLogfmt), string(logger.FormatJSON))),
 	}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,9 @@
 	clock  clock
 	ln     net.Listener
 	server *fasthttp.Server
+	// draining is set once a planned stop began: each answer then asks the
+	// caller to use another connection.
+	draining atomic.Bool
 	// base is the context of every request; set once by Run.
 	base context.Context //nolint:containedctx // Requests outlive the call that starts the server.
 }
@@ -80,6 +84,12 @@
 // Address returns the address that callers reach.
 func (l *Listener) Address() string { return l.ln.Addr().String() }
 
+// Drain asks every caller, with its next answer, to leave the connection. The
+// listener goes on accepting.
+func (l *Listener) Drain() {
+	l.draining.Store(true)
+}
+
 // Run serves callers until ctx ends, then answers every open request.
 func (l *Listener) Run(ctx context.Context) error {
 	failed := make(chan error, 1)
@@ -98,6 +108,15 @@
 }
 
 func (l *Listener) serve(c *fasthttp.RequestCtx) {
+	if err := checkFraming(&c.Request); err != nil {
+		c.SetConnectionClose()
+		l.refuse(c, err)
+
+		return
+	}
+	if l.draining.Load() {
+		c.SetConnectionClose()
+	}
 	x := handler.NewExchange(request(c), l.clock.Now())
 	if err := l.chain.Serve(l.base, x); err != nil {
 		l.refuse(c, err)
--- /dev/null
+++ b/internal/listener/listener_test.go
@@ -0,0 +1,150 @@
+package listener_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/listener"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+)
+
+// echo answers with what reached the chain.
+type echo struct{}
+
+func (echo) Serve(_ context.Context, x *handler.Exchange) error {
+	r := x.Request()
+	x.SetResponse(handler.NewResponse(http.StatusOK, fmt.Appendf(nil, "%s %s query=%q body=%q", r.Method(), r.Path(), r.Query(), r.Body())))
+
+	return nil
+}
+
+func start(t *testing.T, h handler.Handler) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := listener.New(ln, h, 64, timer.NewService())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("the listener stopped with %v", err)
+		}
+	})
+
+	return ln.Addr().String()
+}
+
+// raw sends bytes on a new connection, half-closes it if told to, and tells
+// what came back until the connection ended or fell silent.
+func raw(t *testing.T, address, text string, halfClose bool) string {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	if tc, ok := c.(*net.TCPConn); ok && halfClose {
+		tc.CloseWrite()
+	}
+	if err := c.SetReadDeadline(time.Now().Add(2 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	r := bufio.NewReader(c)
+	for {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			if ne, ok := err.(net.Error); ok && ne.Timeout() {
+				out.WriteString("  connection stays open\n")
+			} else {
+				out.WriteString("  connection closed\n")
+			}
+
+			return out.String()
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&out, "  %d outcome=%q close=%v %s\n", resp.StatusCode, resp.Header.Get(handler.OutcomeField), resp.Close, body)
+	}
+}
+
+// TestFraming sends well-formed and doubtful requests and compares what each
+// led to with the golden file.
+func TestFraming(t *testing.T) {
+	address := start(t, echo{})
+	cases := map[string]string{
+		"01 plain":                       "GET /a HTTP/1.1\r\nHost: x\r\n\r\n",
+		"02 dot segments":                "GET /a/../b%2Fc?d=e HTTP/1.1\r\nHost: x\r\n\r\n",
+		"03 body":                        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc",
+		"04 chunked":                     "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"05 two lengths":                 "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabc",
+		"06 two equal lengths":           "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+		"07 length and chunked":          "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"08 chunked and length":          "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n",
+		"09 unknown coding":              "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		"10 coding in odd case":          "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\nContent-Length: 3\r\n\r\nabc",
+		"11 folded field":                "GET /a HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n",
+		"12 space before colon":          "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length : 3\r\n\r\nabc",
+		"13 negative length":             "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n",
+		"14 length not a number":         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3x\r\n\r\nabc",
+		"15 length with plus":            "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: +3\r\n\r\nabc",
+		"16 chunk size not a number":     "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+		"17 body too large":              "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("a", 65),
+		"18 chunked body too large":      "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" + strings.Repeat("a", 65) + "\r\n0\r\n\r\n",
+		"19 header too large":            "GET /a HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", 20000) + "\r\n\r\n",
+		"20 no host":                     "GET /a HTTP/1.1\r\n\r\n",
+		"21 two hosts":                   "GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+		"22 not HTTP":                    "\x16\x03\x01\x02\x00\x01\r\n\r\n",
+		"23 empty line first":            "\r\nGET /a HTTP/1.1\r\nHost: x\r\n\r\n",
+		"24 NUL in a field":              "GET /a HTTP/1.1\r\nHost: x\r\nA: b\x00c\r\n\r\n",
+		"25 bare CR in a field":          "GET /a HTTP/1.1\r\nHost: x\r\nA: b\rc\r\n\r\n",
+		"26 bare LF lines":               "GET /a HTTP/1.1\nHost: x\nContent-Length: 3\n\nabc",
+		"27 two requests at once":        "GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n",
+		"28 absolute target":             "GET http://y/a HTTP/1.1\r\nHost: x\r\n\r\n",
+		"29 method with odd characters":  "G@T /a HTTP/1.1\r\nHost: x\r\n\r\n",
+		"30 version 1.0":                 "GET /a HTTP/1.0\r\nHost: x\r\n\r\n",
+		"31 body on a GET":               "GET /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc",
+		"32 encoded NUL in the path":     "GET /a%00b HTTP/1.1\r\nHost: x\r\n\r\n",
+		"33 field without colon":         "GET /a HTTP/1.1\r\nHost: x\r\nnonsense\r\n\r\n",
+		"34 expect":                      "POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\nabc",
+		"35 chunk extension and trailer": "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n3;x=y\r\nabc\r\n0\r\nA: b\r\n\r\n",
+		"36 declared length not reached": "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc",
+	}
+	names := make([]string, 0, len(cases))
+	for n := range cases {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	results := make([]string, len(names))
+	done := make(chan int)
+	for i, n := range names {
+		go func() {
+			results[i] = n + "\n" + raw(t, address, cases[n], true)
+			done <- i
+		}()
+	}
+	for range names {
+		<-done
+	}
+	goldie.New(t).Assert(t, "framing", []byte(strings.Join(results, "")))
+}
--- a/internal/prover/fleet_test.go
+++ b/internal/prover/fleet_test.go
@@ -9,10 +9,14 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/standin"
 )
 
+// stopGrace is how long a stopping VM serves on in proofs.
+const stopGrace = time.Second
+
 // fleetSpec tells what to start.
 type fleetSpec struct {
 	vms int
@@ -130,9 +134,10 @@
 func (f *fleet) settings(v *vm) string {
 	f.t.Helper()
 	text, err := json.Marshal(map[string]any{
-		"id":         v.id,
-		"dataCentre": "kandy",
-		"region":     "central-hills",
+		"id":          v.id,
+		"dataCentre":  "kandy",
+		"region":      "central-hills",
+		"stopGraceMs": stopGrace.Milliseconds(),
 		"listen": map[string]string{
 			"callers":         v.callers,
 			"peers":           v.peers,
