Match each answer to its request by connection

Cause: an attempt was a bare refusal, so nothing told a refused connection from a slow or cut answer; an answer ended by close passed as whole; a kept connection was used without a look at it, and none was bounded in number.

Ruled out: reading with fasthttp's client, which retries by itself and does not tell whether a byte was sent.

Change: handler.Attempt carries the kind of fault, the first-byte time and a true outcome. The forwarder counts the bytes that the kernel took, looks at an idle connection before use, closes it after any doubt, refuses answers without a length, follows 1xx answers and bounds connections per target.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -41,6 +41,8 @@
 	server   *messenger.Server
 	pool     *messenger.Pool
 	listener *listener.Listener
+	// transport holds the connections to targets.
+	transport *forwarder.Transport
 	// operators serves readiness, status and metrics.
 	operators *operators
 }
@@ -68,6 +70,7 @@
 	v.follower = follower.New(streamer.NewClient(s.LogBase()), decoder.Change, v.timers, l)
 	self := member.NewVM(member.ID(s.ID()), 0, open.peers.Addr().String(), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
+	v.transport = forwarder.NewTransport(v.timers, v.connections)
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
 	v.operators = newOperators(open.operators, v)
 
@@ -105,7 +108,7 @@
 		filterer.NewDeadline(),
 		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
 		filterer.NewPick(picker.NewRandom(), v.timers),
-		filterer.NewForward(forwarder.NewTransport(v.timers)),
+		filterer.NewForward(v.transport),
 	)
 }
 
@@ -135,7 +138,7 @@
 		logger.Text("peers", v.settings.Peers()),
 		logger.Text("operators", v.settings.Operators()))
 	start := v.timers.Now()
-	err := supervisor.Run(ctx, v.timers, v.follower, v.watcher, v.server, v.listener, v.operators)
+	err := supervisor.Run(ctx, v.timers, v.follower, v.watcher, v.server, v.transport, v.listener, v.operators)
 	if err != nil {
 		v.logger.Log(logger.Failed, logger.Failure(err))
 
--- a/internal/filterer/forward.go
+++ b/internal/filterer/forward.go
@@ -4,14 +4,13 @@
 	"context"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
-	"github.com/lagoonkeel/lagoonkeel/internal/timer"
-	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
 type upstream interface {
-	// Do sends the request to the target and returns the whole answer. The
-	// error is a *handler.Refusal with a true outcome.
-	Do(ctx context.Context, target *manifester.Target, request *handler.Request, deadline timer.Instant) (*handler.Response, error)
+	// Do sends the request to the picked target and returns what came of it.
+	// The attempt's outcome is true: "not-run" only if no byte of the request
+	// can have reached the target, or the target itself said so.
+	Do(ctx context.Context, x *handler.Exchange) *handler.Attempt
 }
 
 // Forward sends the request to the picked target. It is the last filter.
@@ -29,13 +28,10 @@
 // Name returns the filter's name.
 func (f *Forward) Name() string { return "forward" }
 
-// Handle sends the request.
+// Handle sends the request and stores the result of the attempt.
 func (f *Forward) Handle(ctx context.Context, x *handler.Exchange, _ handler.Handler) error {
-	response, err := f.upstream.Do(ctx, x.Target(), x.Request(), x.Deadline())
-	if err != nil {
-		return err
-	}
-	x.SetResponse(response)
+	a := f.upstream.Do(ctx, x)
+	x.SetAttempt(a)
 
-	return nil
+	return a.Err()
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -1,15 +1,18 @@
 // Package forwarder sends requests to targets over HTTP/1.1. It owns the
-// connections, so that it can tell whether a byte of a request was sent.
+// connections, so that it can tell whether a byte of a request was sent. A
+// connection carries one request at a time, and is closed for good after any
+// doubt about where the next answer on it begins.
 package forwarder
 
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
-	"strconv"
-	"sync"
+	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
@@ -20,199 +23,298 @@
 const (
 	// maxAnswerBytes bounds the body of an answer.
 	maxAnswerBytes = 16 << 20
-	// maxIdleAge bounds how long a connection may wait for its next request.
-	maxIdleAge = 10 * time.Second
+	// maxInterim bounds the 1xx answers before the final one.
+	maxInterim = 8
 	// bufferBytes is the size of a connection's read and write buffers.
 	bufferBytes = 16 << 10
-	// timeoutField carries the time left in whole milliseconds.
-	timeoutField = "Lagoonkeel-Timeout-Ms"
-	// stateField is the field by which an upstream says that it did not run a
-	// request.
-	stateField = "Upstream-State"
-	stateShed  = "shed"
 )
 
 type clock interface {
 	Now() timer.Instant
 }
 
-// connection is one open connection to a target; it carries one request at a
-// time.
-type connection struct {
-	net.Conn
-	reader *bufio.Reader
-	writer *bufio.Writer
-	// idleSince is when the last answer had been read.
-	idleSince timer.Instant
+type ticker interface {
+	Now() timer.Instant
+	Every(d time.Duration) *timer.Subscription
 }
 
+// bounder returns the most connections that this VM may hold open to a target.
+type bounder func(target *manifester.Target) int
+
 // Transport sends requests. It is safe for concurrent use.
 type Transport struct {
-	clock  clock
-	dialer net.Dialer
-	mu     sync.Mutex
-	// idle maps addresses to open connections, the last used last.
-	idle map[string][]*connection
+	clock clock
+	pool  *pool
 }
 
-// NewTransport returns a transport without connections.
-func NewTransport(c clock) *Transport {
+// NewTransport returns a transport without connections. The bound of
+// connections to a target is asked for each new connection.
+func NewTransport(t ticker, bound func(target *manifester.Target) int) *Transport {
 	return &Transport{
-		clock: c,
-		dialer: net.Dialer{
-			Timeout: time.Second,
-		},
-		idle: map[string][]*connection{},
+		clock: t,
+		pool:  newPool(t, bound),
 	}
 }
 
-// Do sends the request to the target and returns the whole answer. The error is
-// a *handler.Refusal.
-func (t *Transport) Do(ctx context.Context, target *manifester.Target, request *handler.Request, deadline timer.Instant) (*handler.Response, error) {
-	left := deadline.Sub(t.clock.Now())
+// Name returns the controller's name.
+func (t *Transport) Name() string { return "connections" }
+
+// Run closes connections that were idle for too long until ctx ends, then
+// closes all idle ones.
+func (t *Transport) Run(ctx context.Context) error {
+	return t.pool.run(ctx)
+}
+
+// Alive reports whether the target takes a new connection.
+func (t *Transport) Alive(ctx context.Context, target *manifester.Target) bool {
+	return t.pool.alive(ctx, target.Address())
+}
+
+// Do sends the request to the picked target and returns what came of it.
+func (t *Transport) Do(ctx context.Context, x *handler.Exchange) *handler.Attempt {
+	target := x.Target()
+	left := x.Deadline().Sub(t.clock.Now())
 	if left <= 0 {
-		return nil, handler.NewRefusal(handler.CodeTimeout, "the deadline passed before the request was sent")
+		return handler.NewFailed(target, handler.FaultCanceled, handler.NewRefusal(handler.CodeTimeout, "the deadline passed before the request was sent"))
+	}
+	if ctx.Err() != nil {
+		return handler.NewFailed(target, handler.FaultCanceled, handler.NewRefusal(handler.CodeTimeout, "the caller went away before the request was sent"))
+	}
+	c, fault := t.pool.take(ctx, target, left, need(x))
+	if fault != handler.FaultNone {
+		return unsent(target, fault)
+	}
+	stop := context.AfterFunc(ctx, c.kill)
+	a := t.exchange(ctx, c, x)
+	if !stop() || !c.usable() {
+		t.pool.discard(target.Address(), c)
+	} else {
+		t.pool.keep(target.Address(), c)
+	}
+	if a.Fault() != handler.FaultNone && a.MayHaveRun() {
+		// What silenced or cut one connection may have cut the idle ones too.
+		t.pool.flush(target.Address())
+	}
+
+	return a
+}
+
+// freshness tells which connections a request may use.
+type freshness int
+
+const (
+	// anyChecked allows every idle connection that was found open and silent.
+	anyChecked freshness = iota
+	// recentlyUsed allows idle connections that just carried an answer.
+	recentlyUsed
+	// fresh allows new connections only.
+	fresh
+)
+
+func need(x *handler.Exchange) freshness {
+	switch {
+	case len(x.Tried()) > 1:
+		return fresh
+	case !x.Idempotent():
+		return recentlyUsed
+	default:
+		return anyChecked
 	}
-	c, err := t.connect(ctx, target.Address(), left)
-	if err != nil {
-		return nil, err
+}
+
+func unsent(target *manifester.Target, fault handler.Fault) *handler.Attempt {
+	if fault == handler.FaultBusy {
+		return handler.NewFailed(target, fault, handler.NewRefusal(handler.CodeOverload, "every connection to the target is in use"))
 	}
-	stop := context.AfterFunc(ctx, func() {
-		_ = c.Close() // Ends the exchange; the read below reports it.
-	})
-	defer stop()
 
-	return t.exchange(c, target, request, left)
+	return handler.NewFailed(target, fault, handler.NewRefusal(handler.CodeConnect, "no connection to the target could be opened"))
 }
 
-func (t *Transport) exchange(c *connection, target *manifester.Target, request *handler.Request, left time.Duration) (*handler.Response, error) {
+func (t *Transport) exchange(ctx context.Context, c *connection, x *handler.Exchange) *handler.Attempt {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	fill(req, target.Address(), request, left)
-	if err := c.SetDeadline(time.Now().Add(left)); err != nil {
-		_ = c.Close()
-
-		return nil, handler.NewRefusal(handler.CodeConnect, "the connection to the target was closed")
+	start := t.clock.Now()
+	left := x.Deadline().Sub(start)
+	fill(req, x.Target().Address(), x.Request(), left)
+	c.begin(left)
+	if err := write(c, req); err != nil {
+		return t.failed(ctx, c, x.Target(), start, err)
 	}
-	if err := send(c, req, resp); err != nil {
-		_ = c.Close()
-
-		return nil, failure(err)
+	wait := left
+	if p := x.Patience(); p > 0 {
+		wait = min(wait, p)
 	}
-	answer := read(resp)
-	if resp.ConnectionClose() || c.reader.Buffered() > 0 {
-		_ = c.Close()
-	} else {
-		t.keep(target.Address(), c)
+	if err := c.awaitAnswer(wait); err != nil {
+		return t.failed(ctx, c, x.Target(), start, err)
 	}
-	if resp.StatusCode() == fasthttp.StatusServiceUnavailable && string(resp.Header.Peek(stateField)) == stateShed {
-		return nil, handler.NewRefusal(handler.CodeShed, "the target shed the request")
+	firstByte := t.clock.Now().Sub(start)
+	c.begin(x.Deadline().Sub(t.clock.Now()))
+	resp.SkipBody = req.Header.IsHead()
+	if err := read(c.reader, resp); err != nil {
+		return t.failed(ctx, c, x.Target(), start, err)
+	}
+	if !resp.ConnectionClose() && c.reader.Buffered() == 0 {
+		c.finished()
 	}
 
-	return answer, nil
+	return answered(x.Target(), resp).Timed(firstByte, c.reused)
 }
 
-func send(c *connection, req *fasthttp.Request, resp *fasthttp.Response) error {
+func write(c *connection, req *fasthttp.Request) error {
 	if err := req.Write(c.writer); err != nil {
-		return err //nolint:wrapcheck // Turned into a refusal by failure.
-	}
-	if err := c.writer.Flush(); err != nil {
-		return err //nolint:wrapcheck // Turned into a refusal by failure.
+		return errors.Wrap(err, "writing the request")
 	}
-	resp.SkipBody = req.Header.IsHead()
 
-	return resp.ReadLimitBody(c.reader, maxAnswerBytes) //nolint:wrapcheck // Turned into a refusal by failure.
+	return errors.Wrap(c.writer.Flush(), "sending the request")
 }
 
-// failure returns the refusal of a request of which bytes may have been sent.
-func failure(err error) *handler.Refusal {
-	if e, ok := err.(net.Error); ok && e.Timeout() { //nolint:errorlint // fasthttp returns it unwrapped.
-		return handler.NewUnknown(handler.CodeTimeout, "the target gave no whole answer in time")
-	}
+// truncatedError reports an answer whose end could not be told.
+type truncatedError struct {
+	cause error
+}
+
+// Error implements error.
+func (e *truncatedError) Error() string {
+	return "the answer was not whole; look at the target's log: " + e.cause.Error()
+}
+
+// unframedError reports an answer without a length, which only the end of its
+// connection would have ended.
+type unframedError struct{}
+
+// Error implements error.
+func (e *unframedError) Error() string {
+	return "the answer has neither a length nor chunks, so it cannot be told to be whole; let the target send one"
+}
+
+// interimError reports a 1xx answer that the forwarder does not follow.
+type interimError struct{}
 
-	return handler.NewUnknown(handler.CodeUpstream, "the connection to the target failed before a whole answer")
+// Error implements error.
+func (e *interimError) Error() string {
+	return "the target sent 101 or too many 1xx answers; it must answer with a final status"
 }
 
-// fill builds the upstream request. The path is the one that was decided on.
-func fill(req *fasthttp.Request, host string, r *handler.Request, left time.Duration) {
-	uri := req.URI()
-	uri.SetScheme("http")
-	uri.SetHost(host)
-	uri.SetPath(r.Path())
-	uri.SetQueryString(r.Query())
-	req.Header.SetMethod(r.Method())
-	for _, f := range r.Fields().All() {
-		if !hopByHop(f.Name()) {
-			req.Header.Add(f.Name(), f.Value())
+// read reads one final answer. The first byte is already buffered.
+func read(r *bufio.Reader, resp *fasthttp.Response) error {
+	if err := readFinalHeader(r, resp); err != nil {
+		return err
+	}
+	if resp.SkipBody || !hasBody(resp.StatusCode()) {
+		resp.SkipBody = true
+
+		return nil
+	}
+	const (
+		chunked = -1
+		unknown = -2
+	)
+	length := resp.Header.ContentLength()
+	if length == unknown {
+		return &truncatedError{
+			cause: &unframedError{},
+		}
+	}
+	if err := resp.ReadBody(r, maxAnswerBytes); err != nil {
+		return &truncatedError{
+			cause: err,
+		}
+	}
+	if length == chunked {
+		if err := resp.Header.ReadTrailer(r); err != nil {
+			return &truncatedError{
+				cause: err,
+			}
 		}
 	}
-	req.Header.Set(timeoutField, strconv.FormatInt(max(1, left.Milliseconds()), 10))
-	req.SetBodyRaw(r.Body())
+
+	return nil
 }
 
-func read(resp *fasthttp.Response) *handler.Response {
-	answer := handler.NewResponse(resp.StatusCode(), append([]byte(nil), resp.Body()...))
-	for k, v := range resp.Header.All() {
-		name := string(k)
-		if !hopByHop(name) && name != handler.OutcomeField {
-			answer.Fields().Add(name, string(v))
+func readFinalHeader(r *bufio.Reader, resp *fasthttp.Response) error {
+	for range maxInterim {
+		if err := resp.Header.Read(r); err != nil {
+			return &truncatedError{
+				cause: err,
+			}
+		}
+		switch s := resp.StatusCode(); {
+		case s == fasthttp.StatusSwitchingProtocols:
+			return &interimError{}
+		case s >= fasthttp.StatusOK:
+			return nil
 		}
 	}
 
-	return answer
+	return &interimError{}
 }
 
-// hopByHop reports whether a field belongs to one connection only.
-func hopByHop(name string) bool {
-	switch name {
-	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect":
-		return true
-	default:
-		return false
+// hasBody reports whether an answer of the status carries a body.
+func hasBody(status int) bool {
+	return status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
+
+// answered returns the attempt of a whole answer.
+func answered(target *manifester.Target, resp *fasthttp.Response) *handler.Attempt {
+	if resp.StatusCode() == fasthttp.StatusServiceUnavailable {
+		switch string(resp.Header.Peek(stateField)) {
+		case stateShed:
+			return handler.NewFailed(target, handler.FaultShed, handler.NewRefusal(handler.CodeShed, "the target shed the request"))
+		case stateDraining:
+			return handler.NewFailed(target, handler.FaultDraining, handler.NewRefusal(handler.CodeDraining, "the target is draining and did not run the request"))
+		}
 	}
+
+	return handler.NewAnswered(target, answer(resp))
 }
 
-func (t *Transport) connect(ctx context.Context, address string, left time.Duration) (*connection, error) {
-	if c := t.reuse(address); c != nil {
-		return c, nil
+// failed returns the attempt that ended with err. Whatever the error, the
+// request may have run once a byte of it was handed to the kernel.
+func (t *Transport) failed(ctx context.Context, c *connection, target *manifester.Target, start timer.Instant, err error) *handler.Attempt {
+	took := t.clock.Now().Sub(start)
+	if c.sent() == 0 {
+		refusal := handler.NewRefusal(handler.CodeConnect, "the connection ended before the request was sent")
+
+		return handler.NewFailed(target, handler.FaultStale, refusal).Timed(0, c.reused)
 	}
-	ctx, cancel := context.WithTimeout(ctx, left)
-	defer cancel()
-	conn, err := t.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, handler.NewRefusal(handler.CodeConnect, "no connection to the target could be opened")
+	fault := classify(ctx, err)
+	refusal := handler.NewUnknown(handler.CodeUpstream, "the connection to the target failed before a whole answer")
+	if fault == handler.FaultSlow || fault == handler.FaultCanceled {
+		refusal = handler.NewUnknown(handler.CodeTimeout, "no whole answer of the target came in time")
 	}
 
-	return &connection{
-		Conn:   conn,
-		reader: bufio.NewReaderSize(conn, bufferBytes),
-		writer: bufio.NewWriterSize(conn, bufferBytes),
-	}, nil
+	return handler.NewFailed(target, fault, refusal).Timed(took, c.reused)
 }
 
-func (t *Transport) reuse(address string) *connection {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	list := t.idle[address]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		t.idle[address] = list
-		if t.clock.Now().Sub(c.idleSince) < maxIdleAge {
-			return c
-		}
-		_ = c.Close()
+func classify(ctx context.Context, err error) handler.Fault {
+	var truncated *truncatedError
+	var interim *interimError
+	var timeout net.Error
+	switch {
+	case ctx.Err() != nil:
+		return handler.FaultCanceled
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
+		return handler.FaultSlow
+	case errors.As(err, &interim), errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return handler.FaultMalformed
+	case errors.As(err, &truncated):
+		return truncation(truncated.cause)
+	default:
+		return handler.FaultReset
 	}
-
-	return nil
 }
 
-func (t *Transport) keep(address string, c *connection) {
-	c.idleSince = t.clock.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.idle[address] = append(t.idle[address], c)
+// truncation tells an answer that ended early from one that is not HTTP.
+func truncation(cause error) handler.Fault {
+	var unframed *unframedError
+	var op *net.OpError
+	var chunk fasthttp.ErrBrokenChunk
+	if errors.As(cause, &unframed) || errors.As(cause, &op) || errors.As(cause, &chunk) ||
+		errors.Is(cause, io.EOF) || errors.Is(cause, io.ErrUnexpectedEOF) {
+		return handler.FaultTruncated
+	}
+
+	return handler.FaultMalformed
 }
--- a/internal/handler/exchange.go
+++ b/internal/handler/exchange.go
@@ -1,6 +1,8 @@
 package handler
 
 import (
+	"time"
+
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
@@ -25,6 +27,11 @@
 	target    *manifester.Target
 	// tried lists the targets of earlier attempts.
 	tried []string
+	// attempt is the result of the last attempt; nil before the first.
+	attempt *Attempt
+	// patience bounds the wait for the first byte of the next attempt's answer;
+	// 0 where only the deadline does.
+	patience time.Duration
 }
 
 // NewExchange returns the exchange of a request that arrived at the instant.
@@ -94,3 +101,22 @@
 
 // Tried returns the names of the targets tried so far.
 func (x *Exchange) Tried() []string { return x.tried }
+
+// Attempt returns the result of the last attempt, or nil before the first.
+func (x *Exchange) Attempt() *Attempt { return x.attempt }
+
+// SetAttempt stores the result of an attempt, and its answer if there is one.
+func (x *Exchange) SetAttempt(a *Attempt) {
+	x.attempt = a
+	x.response = a.Response()
+}
+
+// Patience returns the longest wait for the first byte of the next attempt's
+// answer, or 0 where only the deadline bounds it.
+func (x *Exchange) Patience() time.Duration { return x.patience }
+
+// SetPatience stores the longest wait for the first byte of the next answer.
+func (x *Exchange) SetPatience(d time.Duration) { x.patience = d }
+
+// Idempotent reports whether the request may be sent more than once.
+func (x *Exchange) Idempotent() bool { return x.route != nil && x.route.Idempotent() }
--- a/internal/handler/refusal.go
+++ b/internal/handler/refusal.go
@@ -44,6 +44,7 @@
 	CodeConnect        Code = "upstream-connect"
 	CodeUpstream       Code = "upstream-failed"
 	CodeShed           Code = "upstream-shed"
+	CodeDraining       Code = "upstream-draining"
 	CodeTimeout        Code = "timeout"
 	CodeQuarantined    Code = "quarantined"
 	CodeClaimed        Code = "already-sent"
@@ -70,6 +71,7 @@
 	CodeConnect:        http.StatusBadGateway,
 	CodeUpstream:       http.StatusBadGateway,
 	CodeShed:           http.StatusServiceUnavailable,
+	CodeDraining:       http.StatusServiceUnavailable,
 	CodeTimeout:        http.StatusGatewayTimeout,
 	CodeQuarantined:    http.StatusServiceUnavailable,
 	CodeClaimed:        http.StatusConflict,
