--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
@@ -87,7 +88,9 @@
 }
 
 func reset(c net.Conn, _ int64, _ *http.Request) {
-	_ = c.(*net.TCPConn).SetLinger(0)
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
 	_ = c.Close()
 }
 
@@ -129,7 +132,10 @@
 	if a.Err() == nil {
 		return fmt.Sprintf("answer %d %q", a.Status(), a.Response().Body())
 	}
-	r := a.Err().(*handler.Refusal)
+	var r *handler.Refusal
+	if !errors.As(a.Err(), &r) {
+		return "untyped error " + a.Err().Error()
+	}
 
 	return fmt.Sprintf("fault=%s outcome=%s code=%s", a.Fault(), r.Outcome(), r.Code())
 }
@@ -213,7 +219,7 @@
 // TestLateAnswer checks that the answer to an abandoned request never reaches
 // the next one, and that silent connections to the target are flushed.
 func TestLateAnswer(t *testing.T) {
-	f := startFake(t, func(c net.Conn, n int64, r *http.Request) {
+	f := startFake(t, func(c net.Conn, _ int64, r *http.Request) {
 		if r.Header.Get("Token") == "late" {
 			time.Sleep(150 * time.Millisecond)
 		}
