--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -43,8 +43,12 @@
 	listener *listener.Listener
 	// stopper runs the listener and the planned stop.
 	stopper *stopper
+	// transport holds the connections to targets.
+	transport *forwarder.Transport
 	// operators serves readiness, status and metrics.
 	operators *operators
+	// controllers run from the start to the end of the process.
+	controllers []supervisor.Controller
 }
 
 // sockets are the open listeners of a VM.
@@ -70,6 +74,7 @@
 	v.follower = follower.New(streamer.NewClient(s.LogBase()), decoder.Change, v.timers, l)
 	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
+	v.transport = forwarder.NewTransport(v.timers, v.connections)
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
 	v.stopper = &stopper{
 		grace:  s.StopGrace(),
@@ -78,6 +83,15 @@
 		logger: l,
 	}
 	v.operators = newOperators(open.operators, v)
+	v.controllers = append(v.controllers,
+		v.timers,
+		v.follower,
+		v.watcher,
+		v.server,
+		v.transport,
+		v.operators,
+		v.stopper,
+	)
 
 	return v, nil
 }
@@ -122,7 +136,7 @@
 		filterer.NewDeadline(),
 		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
 		filterer.NewPick(picker.NewRandom(), v.timers),
-		filterer.NewForward(forwarder.NewTransport(v.timers)),
+		filterer.NewForward(v.transport),
 	)
 }
 
@@ -156,7 +170,7 @@
 	defer finish()
 	v.stopper.asked = ctx
 	v.stopper.finish = finish
-	err := supervisor.Run(running, v.timers, v.follower, v.watcher, v.server, v.operators, v.stopper)
+	err := supervisor.Run(running, v.controllers...)
 	if err != nil {
 		v.logger.Log(logger.Failed, logger.Failure(err))
 
