--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
@@ -72,7 +73,8 @@
 	for {
 		resp, err := http.ReadResponse(r, nil)
 		if err != nil {
-			if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			var ne net.Error
+			if errors.As(err, &ne) && ne.Timeout() {
 				out.WriteString("  connection stays open\n")
 			} else {
 				out.WriteString("  connection closed\n")
@@ -81,6 +83,7 @@
 			return out.String()
 		}
 		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
 		if err != nil {
 			t.Fatal(err)
 		}
