Retry failed attempts within a budget

Cause: a failed attempt was final, also where the request had not run.

Ruled out: retrying by status alone (a refused connection and a cut answer look alike by then); a budget per request (it multiplies under overload).

Change: the retry filter makes up to three attempts on different targets. Idempotent requests are repeated within a tenth of recent requests plus one a second; others only after attempts that verifiably did not run. The wait for a first byte is learned per service. A refusal after several attempts says "not-run" only if none of them may have run.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -22,6 +22,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
 	"github.com/lagoonkeel/lagoonkeel/internal/picker"
+	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -116,6 +117,7 @@
 		filterer.NewRoute(),
 		filterer.NewDeadline(),
 		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
+		filterer.NewRetry(retrier.New(), v.timers),
 		filterer.NewPick(picker.NewRandom(), v.timers),
 		filterer.NewForward(v.transport),
 	)
--- /dev/null
+++ b/internal/filterer/retry_test.go
@@ -0,0 +1,92 @@
+package filterer_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// script is the end of a chain that makes one attempt after another.
+type script struct {
+	attempts []*handler.Attempt
+	used     int
+}
+
+func (s *script) Serve(_ context.Context, x *handler.Exchange) error {
+	if s.used == len(s.attempts) {
+		return handler.NewRefusal(handler.CodeNoTarget, "no target is left")
+	}
+	a := *s.attempts[s.used]
+	s.used++
+	x.SetAttempt(&a)
+
+	return a.Err()
+}
+
+func result(x *handler.Exchange, err error) string {
+	if err == nil {
+		return fmt.Sprintf("answer %d", x.Response().Status())
+	}
+	var r *handler.Refusal
+	if !errors.As(err, &r) {
+		return err.Error()
+	}
+
+	return fmt.Sprintf("%s %s", r.Outcome(), r.Code())
+}
+
+func newExchange(idempotent bool, now timer.Instant) *handler.Exchange {
+	x := handler.NewExchange(handler.NewRequest("POST", "/book", "", []byte("seat")), now)
+	x.SetRoute(manifester.NewRoute(manifester.RouteSpec{Name: "book", Idempotent: idempotent}),
+		manifester.NewService("bookings", manifester.ClassBooking, 0, nil))
+	x.SetTeam(manifester.NewTeam("guides", 1, 1, 1, nil), "digest")
+	x.SetDeadline(now.Add(time.Second))
+
+	return x
+}
+
+// TestRetry compares the results of sequences of attempts with the golden
+// transcript.
+func TestRetry(t *testing.T) {
+	ok := handler.NewAnswered(nil, handler.NewResponse(200, nil))
+	fails := handler.NewAnswered(nil, handler.NewResponse(500, nil))
+	refused := handler.NewFailed(nil, handler.FaultConnect, handler.NewRefusal(handler.CodeConnect, "refused"))
+	shed := handler.NewFailed(nil, handler.FaultShed, handler.NewRefusal(handler.CodeShed, "shed"))
+	cut := handler.NewFailed(nil, handler.FaultReset, handler.NewUnknown(handler.CodeUpstream, "cut"))
+	var out bytes.Buffer
+	for _, c := range []struct {
+		name     string
+		attempts []*handler.Attempt
+	}{
+		{"ok", []*handler.Attempt{ok}},
+		{"cut, ok", []*handler.Attempt{cut, ok}},
+		{"cut, refused, refused", []*handler.Attempt{cut, refused, refused}},
+		{"cut, then no target", []*handler.Attempt{cut}},
+		{"refused, shed, ok", []*handler.Attempt{refused, shed, ok}},
+		{"refused, shed, then no target", []*handler.Attempt{refused, shed}},
+		{"refused, cut, ok", []*handler.Attempt{refused, cut, ok}},
+		{"500, cut, shed", []*handler.Attempt{fails, cut, shed}},
+		{"shed, shed, shed, ok", []*handler.Attempt{shed, shed, shed, ok}},
+		{"no target at all", nil},
+	} {
+		for _, idempotent := range []bool{true, false} {
+			clock := timer.NewManual(0)
+			x := newExchange(idempotent, clock.Now())
+			s := &script{attempts: c.attempts}
+			err := filterer.NewRetry(retrier.New(), clock).Handle(context.Background(), x, s)
+			fmt.Fprintf(&out, "%s idempotent=%v: %s after %d attempts\n", c.name, idempotent, result(x, err), s.used)
+		}
+	}
+	goldie.New(t).Assert(t, "retry", out.Bytes())
+}
--- /dev/null
+++ b/internal/retrier/retrier_test.go
@@ -0,0 +1,114 @@
+package retrier_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+)
+
+func failed(f handler.Fault, notRun bool) *handler.Attempt {
+	refusal := handler.NewUnknown(handler.CodeUpstream, "failed")
+	if notRun {
+		refusal = handler.NewRefusal(handler.CodeConnect, "failed")
+	}
+
+	return handler.NewFailed(nil, f, refusal)
+}
+
+// TestJudge compares the verdict for each kind of attempt with the golden
+// transcript.
+func TestJudge(t *testing.T) {
+	var out bytes.Buffer
+	for _, c := range []struct {
+		name    string
+		attempt *handler.Attempt
+	}{
+		{"200", handler.NewAnswered(nil, handler.NewResponse(200, nil))},
+		{"404", handler.NewAnswered(nil, handler.NewResponse(404, nil))},
+		{"500", handler.NewAnswered(nil, handler.NewResponse(500, nil))},
+		{"501", handler.NewAnswered(nil, handler.NewResponse(501, nil))},
+		{"503", handler.NewAnswered(nil, handler.NewResponse(503, nil))},
+		{"connect", failed(handler.FaultConnect, true)},
+		{"busy", failed(handler.FaultBusy, true)},
+		{"stale", failed(handler.FaultStale, true)},
+		{"shed", failed(handler.FaultShed, true)},
+		{"draining", failed(handler.FaultDraining, true)},
+		{"slow", failed(handler.FaultSlow, false)},
+		{"reset", failed(handler.FaultReset, false)},
+		{"truncated", failed(handler.FaultTruncated, false)},
+		{"malformed", failed(handler.FaultMalformed, false)},
+		{"canceled", failed(handler.FaultCanceled, false)},
+	} {
+		for _, idempotent := range []bool{true, false} {
+			r := retrier.New()
+			now := timer.Instant(0)
+			deadline := now.Add(time.Second)
+			fmt.Fprintf(&out, "%s idempotent=%v: first=%v third=%v late=%v\n", c.name, idempotent,
+				r.Judge(now, deadline, "s", idempotent, 1, c.attempt),
+				r.Judge(now, deadline, "s", idempotent, 3, c.attempt),
+				r.Judge(deadline.Add(-time.Millisecond), deadline, "s", idempotent, 1, c.attempt))
+		}
+	}
+	goldie.New(t).Assert(t, "judge", out.Bytes())
+}
+
+// TestBudget compares how many retries are paid for with the golden transcript.
+func TestBudget(t *testing.T) {
+	var out bytes.Buffer
+	now := timer.Instant(0)
+	b := retrier.NewBudget(now)
+	count := func() int {
+		n := 0
+		for b.Withdraw(now) {
+			n++
+		}
+
+		return n
+	}
+	fmt.Fprintf(&out, "at the start: %d\n", count())
+	fmt.Fprintf(&out, "at once again: %d\n", count())
+	for range 1000 {
+		b.Deposit()
+	}
+	fmt.Fprintf(&out, "after 1000 requests without a failure: %d\n", count())
+	paid := 0
+	for range 1000 {
+		b.Deposit()
+		if b.Withdraw(now) {
+			paid++
+		}
+	}
+	fmt.Fprintf(&out, "of 1000 requests that all fail: %d\n", paid)
+	now = now.Add(3500 * time.Millisecond)
+	fmt.Fprintf(&out, "after 3.5 s without requests: %d\n", count())
+	now = now.Add(time.Hour)
+	fmt.Fprintf(&out, "after an hour without requests: %d\n", count())
+	goldie.New(t).Assert(t, "budget", out.Bytes())
+}
+
+// TestLatency compares the learned bounds with the golden transcript.
+func TestLatency(t *testing.T) {
+	var out bytes.Buffer
+	l := retrier.NewLatency()
+	learn := func(what string, times ...time.Duration) {
+		for i := range 1024 {
+			l.Record(times[i%len(times)])
+		}
+		fmt.Fprintf(&out, "%s: late after %v\n", what, l.Bound())
+	}
+	fmt.Fprintf(&out, "nothing learned: late after %v\n", l.Bound())
+	ms := time.Millisecond
+	learn("5 ms", 5*ms)
+	learn("5 ms and a quarter of 2 s", 5*ms, 5*ms, 5*ms, 2*time.Second)
+	learn("20 ms", 20*ms)
+	learn("1 ms", ms)
+	learn("3 s", 3*time.Second)
+	goldie.New(t).Assert(t, "latency", out.Bytes())
+}
