Trace each hop and count each outcome

Cause: a slow or refused request could not be followed through the fleet. Change: a span for the caller's side and one for each upstream try by OpenTelemetry with W3C context, exported by setting or not at all; atomic counters by outcome and latency bucket. The library's own timers were ruled out: their samples take a lock on the path of each request.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -21,11 +21,13 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
+	"github.com/lagoonkeel/lagoonkeel/internal/meter"
 	"github.com/lagoonkeel/lagoonkeel/internal/picker"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/internal/tracer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
@@ -42,6 +44,8 @@
 	server   *messenger.Server
 	pool     *messenger.Pool
 	listener *listener.Listener
+	tracer   *tracer.Tracer
+	meter    *meter.Meter
 	// stopper runs the listener and the planned stop.
 	stopper *stopper
 	// transport holds the connections to targets.
@@ -68,10 +72,14 @@
 	v := &VM{
 		settings: s,
 		logger:   l,
+		meter:    meter.New(),
 		timers:   timer.NewService(),
 		server:   messenger.NewServer(open.peers),
 		pool:     messenger.NewPool(),
 	}
+	if v.tracer, err = tracer.New(context.Background(), s.Tracing(), s.ID()); err != nil {
+		return nil, err
+	}
 	v.follower = follower.New(streamer.NewClient(s.LogBase()), decoder.Change, v.timers, l)
 	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
@@ -130,6 +138,8 @@
 // chain builds the filter chain in the order in which decisions are made.
 func (v *VM) chain() *handler.Chain {
 	return handler.NewChain(
+		filterer.NewTraceRequest(v.tracer),
+		filterer.NewCount(v.meter, v.timers),
 		filterer.NewLimit(v.settings.MaxBody(), maxFields),
 		filterer.NewAuthenticate(v.follower),
 		filterer.NewScrub(),
@@ -138,6 +148,7 @@
 		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
 		filterer.NewRetry(retrier.New(), v.timers),
 		filterer.NewPick(picker.NewRandom(), v.timers),
+		filterer.NewTraceAttempt(v.tracer),
 		filterer.NewForward(v.transport),
 	)
 }
@@ -180,7 +191,9 @@
 	}
 	v.logger.Log(logger.Stopped, logger.Millis("ran", v.timers.Now().Sub(start)))
 
-	return errors.Wrap(v.pool.Close(), "stopping the VM")
+	err = errors.CombineErrors(v.pool.Close(), v.tracer.Close(context.WithoutCancel(ctx)))
+
+	return errors.Wrap(err, "stopping the VM")
 }
 
 // shutdownTimeout bounds the stop of the operators' listener.
--- a/internal/assembler/operators.go
+++ b/internal/assembler/operators.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rcrowley/go-metrics"
 )
 
 // headerTimeout bounds the reading of an operator's request header.
@@ -94,5 +93,5 @@
 
 func (o *operators) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	metrics.WriteJSONOnce(metrics.DefaultRegistry, w)
+	o.vm.meter.WriteJSON(w)
 }
--- /dev/null
+++ b/internal/filterer/count.go
@@ -0,0 +1,51 @@
+package filterer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+)
+
+type meter interface {
+	Answered(took time.Duration)
+	Refused(code handler.Code, took time.Duration)
+}
+
+// Count counts every request by what it led to.
+type Count struct {
+	meter meter
+	clock clock
+}
+
+// NewCount returns the filter.
+func NewCount(m meter, c clock) *Count {
+	return &Count{
+		meter: m,
+		clock: c,
+	}
+}
+
+// Name returns the filter's name.
+func (c *Count) Name() string { return "count" }
+
+// Handle counts the request after it was handled.
+func (c *Count) Handle(ctx context.Context, x *handler.Exchange, next handler.Handler) error {
+	err := next.Serve(ctx, x)
+	took := c.clock.Now().Sub(x.Arrived())
+	if err == nil {
+		c.meter.Answered(took)
+
+		return nil
+	}
+	code := handler.CodeInternal
+	var r *handler.Refusal
+	if errors.As(err, &r) {
+		code = r.Code()
+	}
+	c.meter.Refused(code, took)
+
+	return err
+}
--- a/internal/handler/refusal.go
+++ b/internal/handler/refusal.go
@@ -79,6 +79,16 @@
 	CodeClaimsUnusable: http.StatusServiceUnavailable,
 }
 
+// Codes returns every kind of refusal, in no particular order.
+func Codes() []Code {
+	codes := make([]Code, 0, len(statuses))
+	for c := range statuses {
+		codes = append(codes, c)
+	}
+
+	return codes
+}
+
 // Status returns the HTTP status of the code.
 func (c Code) Status() int {
 	if s, ok := statuses[c]; ok {
