Relay the configuration between peers and judge its freshness

Cause: a VM learned of changes from the log alone, decided keyed requests by a manifest of any age, and called itself ready from an unconfirmed one. The follower keeps an instant until which its state may be taken as current: 4 s after word of the log's head, or after a majority had no more than it. The fresh filter compares it with the clock at each keyed request and looks the key up again if the manifest changed meanwhile; the ready filter refuses while nobody confirmed the state. A read without an answer is joined by another on a new connection. Measured: not yet; the tests run on a hand-moved clock and fake links.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -11,7 +11,6 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
-	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/follower"
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
@@ -22,7 +21,6 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
 	"github.com/lagoonkeel/lagoonkeel/internal/picker"
-	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
@@ -37,6 +35,7 @@
 	logger   *logger.Logger
 	timers   *timer.Service
 	follower *follower.Follower
+	config   *configuration
 	watcher  *member.Watcher
 	server   *messenger.Server
 	pool     *messenger.Pool
@@ -65,9 +64,12 @@
 		server:   messenger.NewServer(open.peers),
 		pool:     messenger.NewPool(),
 	}
-	v.follower = follower.New(streamer.NewClient(s.LogBase()), decoder.Change, v.timers, l)
+	v.follower = newFollower(s, v.timers, l)
 	self := member.NewVM(member.ID(s.ID()), 0, open.peers.Addr().String(), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
+	if v.config, err = newConfiguration(v); err != nil {
+		return nil, err
+	}
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
 	v.operators = newOperators(open.operators, v)
 
@@ -99,9 +101,11 @@
 func (v *VM) chain() *handler.Chain {
 	return handler.NewChain(
 		filterer.NewLimit(v.settings.MaxBody(), maxFields),
+		filterer.NewReady(v.follower),
 		filterer.NewAuthenticate(v.follower),
 		filterer.NewScrub(),
 		filterer.NewRoute(),
+		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
 		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
 		filterer.NewPick(picker.NewRandom(), v.timers),
@@ -135,7 +139,7 @@
 		logger.Text("peers", v.settings.Peers()),
 		logger.Text("operators", v.settings.Operators()))
 	start := v.timers.Now()
-	err := supervisor.Run(ctx, v.timers, v.follower, v.watcher, v.server, v.listener, v.operators)
+	err := supervisor.Run(ctx, v.timers, v.follower, v.config.relayer, v.config.snapshotter, v.watcher, v.server, v.listener, v.operators)
 	if err != nil {
 		v.logger.Log(logger.Failed, logger.Failure(err))
 
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -2,7 +2,15 @@
 // addresses and the platform; what the fleet does is declared in the manifest.
 package configurer
 
-import "github.com/lagoonkeel/lagoonkeel/internal/logger"
+import (
+	"cmp"
+	"time"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+)
+
+// DefaultLogRetention is how long the log is taken to keep a record.
+const DefaultLogRetention = 24 * time.Hour
 
 // Settings are the checked settings of a process.
 type Settings struct {
@@ -16,6 +24,8 @@
 	// logBase and listBase are the base addresses of the platform's services.
 	logBase  string
 	listBase string
+	// logRetention is how long the log keeps a record; above 0.
+	logRetention time.Duration
 	// maxBody bounds a request's body in bytes.
 	maxBody   int
 	logFormat logger.Format
@@ -69,25 +79,28 @@
 	Operators  string
 	LogBase    string
 	ListBase   string
-	MaxBody    int
-	LogFormat  logger.Format
-	Tracing    Tracing
+	// LogRetention is DefaultLogRetention where it is 0.
+	LogRetention time.Duration
+	MaxBody      int
+	LogFormat    logger.Format
+	Tracing      Tracing
 }
 
 // New returns settings.
 func New(s Spec) *Settings {
 	return &Settings{
-		id:         s.ID,
-		dataCentre: s.DataCentre,
-		region:     s.Region,
-		callers:    s.Callers,
-		peers:      s.Peers,
-		operators:  s.Operators,
-		logBase:    s.LogBase,
-		listBase:   s.ListBase,
-		maxBody:    s.MaxBody,
-		logFormat:  s.LogFormat,
-		tracing:    s.Tracing,
+		id:           s.ID,
+		dataCentre:   s.DataCentre,
+		region:       s.Region,
+		callers:      s.Callers,
+		peers:        s.Peers,
+		operators:    s.Operators,
+		logBase:      s.LogBase,
+		listBase:     s.ListBase,
+		logRetention: cmp.Or(s.LogRetention, DefaultLogRetention),
+		maxBody:      s.MaxBody,
+		logFormat:    s.LogFormat,
+		tracing:      s.Tracing,
 	}
 }
 
@@ -115,6 +128,9 @@
 // ListBase returns the base address of the VM list.
 func (s *Settings) ListBase() string { return s.listBase }
 
+// LogRetention returns how long the log keeps a record at least.
+func (s *Settings) LogRetention() time.Duration { return s.logRetention }
+
 // MaxBody returns the bound of a request's body in bytes.
 func (s *Settings) MaxBody() int { return s.maxBody }
 
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
@@ -14,6 +15,10 @@
 	defaultMaxBody = 1 << 20
 	largestMaxBody = 64 << 20
 	maxPort        = 1<<16 - 1
+	// minLogRetention and maxLogRetention bound how long the log may be said
+	// to keep records.
+	minLogRetention = time.Minute
+	maxLogRetention = 10 * 365 * 24 * time.Hour
 )
 
 // Settings reads a settings document. The error is manifester.Faults.
@@ -37,6 +42,7 @@
 	r.object("platform", func(o *reader) {
 		spec.LogBase = o.base("log")
 		spec.ListBase = o.base("vms")
+		spec.LogRetention = o.millis("logRetentionMs", configurer.DefaultLogRetention, minLogRetention, maxLogRetention)
 	})
 	r.object("traces", func(o *reader) {
 		spec.Tracing = readTracing(o)
--- /dev/null
+++ b/internal/encoder/chunk.go
@@ -0,0 +1,41 @@
+package encoder
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/snapshotter"
+)
+
+type chunkJSON struct {
+	Snapshot string `json:"snapshot"`
+	Version  int64  `json:"version"`
+	Next     int64  `json:"next"`
+	Index    int    `json:"index"`
+	Count    int    `json:"count"`
+	Digest   string `json:"digest"`
+	Objects  string `json:"objects"`
+}
+
+// Chunk returns the record of a snapshot's chunk. Its digest covers the objects.
+func Chunk(c *snapshotter.Chunk) ([]byte, error) {
+	objects, err := marshal(manifestJSON{
+		Services: each(c.Services(), service),
+		Teams:    each(c.Teams(), team),
+		Routes:   each(c.Routes(), route),
+	})
+	if err != nil {
+		return nil, err
+	}
+	digest := sha256.Sum256(objects)
+
+	return marshal(chunkJSON{
+		Snapshot: string(c.Snapshot()),
+		Version:  int64(c.Version()),
+		Next:     int64(c.Next()),
+		Index:    c.Index(),
+		Count:    c.Count(),
+		Digest:   hex.EncodeToString(digest[:]),
+		Objects:  string(objects),
+	})
+}
--- /dev/null
+++ b/internal/filterer/ready.go
@@ -0,0 +1,36 @@
+package filterer
+
+import (
+	"context"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+)
+
+type readiness interface {
+	Ready() bool
+}
+
+// Ready refuses requests while the VM has no configuration that the log or a
+// ready peer has confirmed. The balancer may send some all the same.
+type Ready struct {
+	readiness readiness
+}
+
+// NewReady returns the filter.
+func NewReady(r readiness) *Ready {
+	return &Ready{
+		readiness: r,
+	}
+}
+
+// Name returns the filter's name.
+func (r *Ready) Name() string { return "ready" }
+
+// Handle refuses the request of a VM that is not ready.
+func (r *Ready) Handle(ctx context.Context, x *handler.Exchange, next handler.Handler) error {
+	if !r.readiness.Ready() {
+		return handler.NewRefusal(handler.CodeNotReady, "this VM has no configuration yet; use another VM")
+	}
+
+	return next.Serve(ctx, x)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -2,54 +2,92 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/recorder"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
-const (
-	// readWait is how long one read waits for a new record.
-	readWait = 2 * time.Second
-	// retryPause is the time between reads while the log is unavailable.
-	retryPause = 250 * time.Millisecond
-)
+// inboxSize bounds the messages that wait for the follower.
+const inboxSize = 64
 
 type logReader interface {
 	Read(ctx context.Context, stream recorder.Stream, from recorder.Offset, wait time.Duration) (recorder.Batch, error)
 }
 
+type snapshotReader interface {
+	// Newest returns the state of the newest complete snapshot in the log.
+	Newest(ctx context.Context) (*manifester.Manifest, recorder.Offset, error)
+}
+
 type timers interface {
-	After(d time.Duration) *timer.Subscription
+	Now() timer.Instant
+	Every(d time.Duration) *timer.Subscription
 }
 
-// Follower is the controller of the manifest in force.
+// published is an immutable picture of the follower's state.
+type published struct {
+	manifest *manifester.Manifest
+	next     recorder.Offset
+	tail     Tail
+	asOf     timer.Instant
+	known    bool
+}
+
+// Follower is the controller of the manifest in force. Records come from the
+// log and from peers; the state takes them in log order, whoever brings them.
 type Follower struct {
-	log    logReader
-	timers timers
-	logger *logger.Logger
-	// state belongs to the goroutine of Run.
-	state *State
-	// current is swapped on each accepted change; never nil.
-	current atomic.Pointer[manifester.Manifest]
-	// caughtUp is set once the head of the log was reached.
-	caughtUp atomic.Bool
+	log       logReader
+	snapshots snapshotReader
+	timers    timers
+	logger    *logger.Logger
+
+	// state, tail, freshness and available belong to the goroutine of Run.
+	state     *State
+	tail      Tail
+	freshness *Freshness
+	available bool
+	// reads holds the instants at which the reads underway were sent.
+	reads []timer.Instant
+	// readers are the goroutines of the reads underway.
+	readers sync.WaitGroup
+
+	inbox chan message
+	// current is swapped on each change; never nil.
+	current atomic.Pointer[published]
+	// freshUntil is the instant from which on the state is too old to decide
+	// keyed requests by.
+	freshUntil atomic.Int64
+	// ready is set once the state was confirmed.
+	ready atomic.Bool
+	// stale is what was last logged about freshness.
+	stale bool
+}
+
+// message is something that the goroutine of Run takes in.
+type message interface {
+	deliver(ctx context.Context, f *Follower)
 }
 
 // New returns a follower of the log.
-func New(log logReader, decode DecodeChange, timers timers, l *logger.Logger) *Follower {
+func New(log logReader, snapshots snapshotReader, decode DecodeChange, timers timers, l *logger.Logger) *Follower {
 	f := &Follower{
-		log:    log,
-		timers: timers,
-		logger: l,
-		state:  NewState(decode),
+		log:       log,
+		snapshots: snapshots,
+		timers:    timers,
+		logger:    l,
+		state:     NewState(decode),
+		freshness: NewFreshness(),
+		available: true,
+		inbox:     make(chan message, inboxSize),
 	}
-	f.current.Store(f.state.Manifest())
+	f.freshUntil.Store(int64(never))
+	f.publish()
 
 	return f
 }
@@ -59,81 +97,174 @@
 
 // Manifest returns the manifest in force.
 func (f *Follower) Manifest() *manifester.Manifest {
-	return f.current.Load()
+	return f.current.Load().manifest
+}
+
+// State returns the manifest in force and the offset of the next record.
+func (f *Follower) State() (*manifester.Manifest, recorder.Offset) {
+	c := f.current.Load()
+
+	return c.manifest, c.next
+}
+
+// Records returns the applied records from the offset on, or false where that
+// offset is no longer kept.
+func (f *Follower) Records(from recorder.Offset) ([]recorder.Record, bool) {
+	c := f.current.Load()
+
+	return c.tail.from(from, c.next)
+}
+
+// Position returns how far this VM has followed the stream.
+func (f *Follower) Position() Position {
+	c := f.current.Load()
+
+	return NewPosition(c.next, c.known, f.timers.Now().Sub(c.asOf), f.Ready())
 }
 
-// Ready reports whether the follower has once reached the head of the log.
-func (f *Follower) Ready() bool {
-	return f.caughtUp.Load()
+// Ready reports whether the log or a ready peer has once confirmed the state
+// as the current one.
+func (f *Follower) Ready() bool { return f.ready.Load() }
+
+// FreshUntil returns the instant from which on the manifest is too old to
+// decide keyed requests by: a withdrawal may have been missed.
+func (f *Follower) FreshUntil() timer.Instant {
+	return timer.Instant(f.freshUntil.Load())
 }
 
 // Run follows the log until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	available := true
-	for ctx.Err() == nil {
-		err := f.readOnce(ctx)
-		if ctx.Err() != nil {
+	tick := f.timers.Every(tickPeriod)
+	defer tick.Stop()
+	defer f.readers.Wait()
+	f.startRead(ctx)
+	for {
+		select {
+		case <-ctx.Done():
 			return nil
+		case m := <-f.inbox:
+			m.deliver(ctx, f)
+		case <-tick.Due():
+			f.keepReading(ctx)
 		}
-		if (err == nil) != available {
-			available = err == nil
-			f.logAvailability(err)
-		}
-		if err != nil {
-			f.pause(ctx)
-		}
+		f.publish()
 	}
-
-	return nil
 }
 
-func (f *Follower) readOnce(ctx context.Context) error {
-	wait := readWait
-	if !f.Ready() {
-		wait = 0
+// send passes a message to the goroutine of Run.
+func (f *Follower) send(ctx context.Context, m message) {
+	select {
+	case f.inbox <- m:
+	case <-ctx.Done():
 	}
-	batch, err := f.log.Read(ctx, recorder.StreamConfig, f.state.Next(), wait)
-	if err != nil {
-		return errors.Wrap(err, "following the configuration")
+}
+
+// Offer passes records that a peer brought to the state.
+func (f *Follower) Offer(ctx context.Context, records []recorder.Record) {
+	f.send(ctx, offer{
+		records: records,
+	})
+}
+
+// Restore passes the state of a snapshot that a peer brought.
+func (f *Follower) Restore(ctx context.Context, m *manifester.Manifest, next recorder.Offset) {
+	f.send(ctx, restoration{
+		manifest: m,
+		next:     next,
+	})
+}
+
+// Hear passes on the word of a peer.
+func (f *Follower) Hear(ctx context.Context, w Word) { f.send(ctx, w) }
+
+// Regroup sets the peers that are asked for their positions.
+func (f *Follower) Regroup(ctx context.Context, peers []member.ID) {
+	f.send(ctx, group(peers))
+}
+
+// publish swaps the picture that other goroutines read.
+func (f *Follower) publish() {
+	asOf, known := f.freshness.AsOf()
+	f.current.Store(&published{
+		manifest: f.state.Manifest(),
+		next:     f.state.Next(),
+		tail:     f.tail,
+		asOf:     asOf,
+		known:    known,
+	})
+	until := f.freshness.Until()
+	fresh := f.timers.Now().Before(until)
+	if f.freshness.Complete() && fresh {
+		f.ready.Store(true)
 	}
-	for _, r := range batch.Records() {
-		f.apply(r)
+	if f.Ready() {
+		f.freshUntil.Store(int64(until))
+		f.logFreshness(!fresh)
 	}
-	if f.state.Next() >= batch.Head() {
-		f.caughtUp.Store(true)
+}
+
+func (f *Follower) logFreshness(stale bool) {
+	if stale == f.stale {
+		return
 	}
+	f.stale = stale
+	if stale {
+		f.logger.Log(logger.KeysStale, logger.Int("next", int64(f.state.Next())))
 
-	return nil
+		return
+	}
+	f.logger.Log(logger.KeysFresh, logger.Int("next", int64(f.state.Next())))
 }
 
-func (f *Follower) apply(r recorder.Record) {
+// apply gives one record to the state and reports whether records may follow.
+func (f *Follower) apply(r recorder.Record) bool {
+	before := f.state.Next()
 	c, err := f.state.Apply(r)
+	if f.state.Next() == before {
+		return err == nil
+	}
+	f.tail = f.tail.with(r)
 	if err != nil {
 		f.logger.Log(logger.ChangeSkipped, logger.Int("offset", int64(r.Offset())), logger.Failure(err))
 
-		return
+		return true
 	}
-	if c == nil {
-		return
-	}
-	f.current.Store(f.state.Manifest())
 	f.logger.Log(logger.ChangeApplied, logger.Int("version", int64(r.Offset())), logger.Text("change", string(c.ID())), logger.Int("objects", int64(c.Size())))
+
+	return true
 }
 
-func (f *Follower) logAvailability(err error) {
-	if err != nil {
-		f.logger.Log(logger.LogUnavailable, logger.Failure(err))
+type offer struct {
+	records []recorder.Record
+}
 
-		return
+func (o offer) deliver(_ context.Context, f *Follower) { f.applyAll(o.records) }
+
+func (f *Follower) applyAll(records []recorder.Record) {
+	for _, r := range records {
+		if !f.apply(r) {
+			return
+		}
 	}
-	f.logger.Log(logger.LogAvailable)
 }
 
-func (f *Follower) pause(ctx context.Context) {
-	t := f.timers.After(retryPause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.Due():
+type restoration struct {
+	manifest *manifester.Manifest
+	next     recorder.Offset
+}
+
+func (r restoration) deliver(_ context.Context, f *Follower) {
+	if !f.state.Restore(r.manifest, r.next) {
+		return
 	}
+	f.tail = Tail{}
+	f.logger.Log(logger.StateRestored, logger.Int("version", int64(r.manifest.Version())), logger.Int("next", int64(r.next)))
 }
+
+func (w Word) deliver(_ context.Context, f *Follower) {
+	f.freshness.PeerAnswered(w, f.state.Next())
+}
+
+type group []member.ID
+
+func (g group) deliver(_ context.Context, f *Follower) { f.freshness.Regroup(g) }
--- /dev/null
+++ b/internal/follower/reading.go
@@ -0,0 +1,140 @@
+package follower
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/recorder"
+	"github.com/lagoonkeel/lagoonkeel/internal/snapshotter"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+)
+
+const (
+	// readWait is how long one read waits for a new record. The age of the
+	// word that it brings is counted from its sending.
+	readWait = time.Second
+	// tickPeriod is the time between reads while the log is unavailable.
+	tickPeriod = 250 * time.Millisecond
+	// hedgeAfter is the time after which a read without an answer is joined by
+	// another: its connection may have gone silent.
+	hedgeAfter = readWait + time.Second
+	// maxReads bounds the reads underway.
+	maxReads = 4
+	// replayLimit is the number of records behind the head above which a
+	// snapshot is read first.
+	replayLimit = 10_000
+)
+
+// readResult is the end of one read of the log.
+type readResult struct {
+	sent  timer.Instant
+	from  recorder.Offset
+	batch recorder.Batch
+	err   error
+	// snapshot replaces expired records; nil where it was not needed.
+	snapshot *restoration
+}
+
+// keepReading starts a read where none is underway or all are late.
+func (f *Follower) keepReading(ctx context.Context) {
+	late := f.timers.Now().Add(-hedgeAfter)
+	if len(f.reads) == 0 || (len(f.reads) < maxReads && !slices.Max(f.reads).After(late)) {
+		f.startRead(ctx)
+	}
+}
+
+func (f *Follower) startRead(ctx context.Context) {
+	sent := f.timers.Now()
+	f.reads = append(f.reads, sent)
+	from := f.state.Next()
+	wait := readWait
+	if !f.Ready() {
+		wait = 0
+	}
+	f.readers.Go(func() {
+		f.send(ctx, f.read(ctx, sent, from, wait))
+	})
+}
+
+func (f *Follower) read(ctx context.Context, sent timer.Instant, from recorder.Offset, wait time.Duration) readResult {
+	r := readResult{
+		sent: sent,
+		from: from,
+	}
+	r.batch, r.err = f.log.Read(ctx, recorder.StreamConfig, from, wait)
+	var expired *recorder.ExpiredError
+	behind := r.err == nil && int64(r.batch.Head())-int64(from) > replayLimit
+	if !errors.As(r.err, &expired) && !behind {
+		return r
+	}
+	m, next, err := f.snapshots.Newest(ctx)
+	if err == nil && expired != nil && next < expired.First() {
+		err = &snapshotter.MissingError{}
+	}
+	switch {
+	case err == nil:
+		r.err = nil
+		r.snapshot = &restoration{
+			manifest: m,
+			next:     next,
+		}
+	case !behind:
+		r.err = err
+	}
+
+	return r
+}
+
+// deliver takes in the result of a read and starts the next one.
+func (r readResult) deliver(ctx context.Context, f *Follower) {
+	if i := slices.Index(f.reads, r.sent); i >= 0 {
+		f.reads = slices.Delete(f.reads, i, i+1)
+	}
+	f.freshness.LogTried(r.sent)
+	f.logAvailability(r.err)
+	if r.err != nil {
+		return
+	}
+	before := f.state.Next()
+	if r.snapshot != nil {
+		r.snapshot.deliver(ctx, f)
+	}
+	f.applyAll(r.batch.Records())
+	f.reach(r)
+	progress := f.state.Next() > before || f.Ready()
+	if progress && len(f.reads) == 0 {
+		f.startRead(ctx)
+	}
+}
+
+// reach notes whether the read shows that the state holds every record.
+func (f *Follower) reach(r readResult) {
+	head := r.batch.Head()
+	switch {
+	case r.snapshot != nil:
+	case r.from > head:
+		f.logger.Log(logger.LogBehind, logger.Int("next", int64(r.from)), logger.Int("head", int64(head)))
+	case f.state.Next() >= head:
+		f.freshness.LogReached(r.sent)
+	}
+}
+
+func (f *Follower) logAvailability(err error) {
+	if (err == nil) == f.available {
+		return
+	}
+	f.available = err == nil
+	var missing *snapshotter.MissingError
+	switch {
+	case errors.As(err, &missing):
+		f.logger.Log(logger.SnapshotMissing, logger.Failure(err))
+	case err != nil:
+		f.logger.Log(logger.LogUnavailable, logger.Failure(err))
+	default:
+		f.logger.Log(logger.LogAvailable)
+	}
+}
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -74,3 +74,15 @@
 
 	return c, nil
 }
+
+// Restore replaces the state by the one of a snapshot, and reports whether it
+// did: a snapshot that is no newer than the state is ignored.
+func (s *State) Restore(m *manifester.Manifest, next recorder.Offset) bool {
+	if next <= s.next || m.Version() < s.manifest.Version() {
+		return false
+	}
+	s.manifest = m
+	s.next = next
+
+	return true
+}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -31,6 +31,13 @@
 	ChangeSkipped   = Event{number: 201, level: LevelWarn, name: "change-skipped", meaning: "A record of the log was not accepted; every VM skips it."}
 	LogUnavailable  = Event{number: 202, level: LevelWarn, name: "log-unavailable", meaning: "The log service does not answer; the VM goes on with the state it has."}
 	LogAvailable    = Event{number: 203, level: LevelInfo, name: "log-available", meaning: "The log service answers again."}
+	StateRestored   = Event{number: 204, level: LevelInfo, name: "state-restored", meaning: "The VM took over the state of a snapshot, from a peer or from the log."}
+	KeysStale       = Event{number: 205, level: LevelAlarm, name: "keys-stale", meaning: "The VM hears neither of the log's head nor from a majority: it cannot know of withdrawn keys and refuses keyed requests."}
+	KeysFresh       = Event{number: 206, level: LevelInfo, name: "keys-fresh", meaning: "The VM knows again that its configuration is the one in force."}
+	LogBehind       = Event{number: 207, level: LevelAlarm, name: "log-behind", meaning: "The log ends before records that this VM has applied; the VM keeps its newer state."}
+	SnapshotMissing = Event{number: 208, level: LevelAlarm, name: "snapshot-missing", meaning: "Records that the VM needs have expired and the log holds no complete snapshot; the VM waits for a peer."}
+	SnapshotWritten = Event{number: 209, level: LevelInfo, name: "snapshot-written", meaning: "This VM appended a whole snapshot of the configuration to the log."}
+	SnapshotFailed  = Event{number: 210, level: LevelWarn, name: "snapshot-failed", meaning: "A snapshot could not be appended; the VM on duty tries again."}
 	ListUnavailable = Event{number: 300, level: LevelWarn, name: "list-unavailable", meaning: "The platform's VM list does not answer; the VM keeps the last one."}
 )
 
@@ -39,6 +46,7 @@
 	return []Event{
 		Started, Stopping, Stopped, Failed,
 		ChangeApplied, ChangeSkipped, LogUnavailable, LogAvailable,
+		StateRestored, KeysStale, KeysFresh, LogBehind, SnapshotMissing, SnapshotWritten, SnapshotFailed,
 		ListUnavailable,
 	}
 }
--- /dev/null
+++ b/internal/snapshotter/snapshotter.go
@@ -0,0 +1,129 @@
+package snapshotter
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/member"
+	"github.com/lagoonkeel/lagoonkeel/internal/recorder"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+const (
+	// checkPeriod is the time between two looks at whether a snapshot is due.
+	checkPeriod = time.Second
+	// failurePause is the time before another try after a failed one.
+	failurePause = 10 * time.Second
+)
+
+// EncodeChunk writes the record of a chunk.
+type EncodeChunk func(*Chunk) ([]byte, error)
+
+type logAppender interface {
+	Append(ctx context.Context, stream recorder.Stream, data []byte) (recorder.Offset, error)
+}
+
+type stateSource interface {
+	State() (*manifester.Manifest, recorder.Offset)
+	Ready() bool
+}
+
+type viewer interface {
+	View() *member.View
+}
+
+type timers interface {
+	Now() timer.Instant
+	Every(d time.Duration) *timer.Subscription
+}
+
+// Snapshotter is the controller that writes snapshots while its VM is on duty.
+// Two VMs that both think so do no harm: each snapshot has an id of its own.
+type Snapshotter struct {
+	log    logAppender
+	encode EncodeChunk
+	state  stateSource
+	viewer viewer
+	timers timers
+	logger *logger.Logger
+	// policy and retryAt belong to the goroutine of Run.
+	policy  *Policy
+	retryAt timer.Instant
+}
+
+// New returns a snapshotter to a log that keeps records for the retention.
+func New(l logAppender, e EncodeChunk, s stateSource, v viewer, t timers, retention time.Duration, out *logger.Logger) *Snapshotter {
+	return &Snapshotter{
+		log:    l,
+		encode: e,
+		state:  s,
+		viewer: v,
+		timers: t,
+		logger: out,
+		policy: NewPolicy(retention),
+	}
+}
+
+// Name returns the controller's name.
+func (s *Snapshotter) Name() string { return "snapshotter" }
+
+// Run writes snapshots until ctx ends.
+func (s *Snapshotter) Run(ctx context.Context) error {
+	tick := s.timers.Every(checkPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.Due():
+			s.check(ctx)
+		}
+	}
+}
+
+// OnDuty reports whether self is the first of the view by id.
+func OnDuty(v *member.View) bool {
+	peers := v.Peers()
+
+	return len(peers) == 0 || v.Self().ID() < peers[0].ID()
+}
+
+func (s *Snapshotter) check(ctx context.Context) {
+	m, next := s.state.State()
+	now := s.timers.Now()
+	onDuty := OnDuty(s.viewer.View()) && s.state.Ready()
+	if !s.policy.Due(now, onDuty, next) || now.Before(s.retryAt) {
+		return
+	}
+	count, err := s.write(ctx, m, next)
+	if err != nil {
+		s.retryAt = s.timers.Now().Add(failurePause)
+		s.logger.Log(logger.SnapshotFailed, logger.Failure(err))
+
+		return
+	}
+	s.policy.Wrote(now, next)
+	s.logger.Log(logger.SnapshotWritten, logger.Int("version", int64(m.Version())), logger.Int("next", int64(next)), logger.Int("chunks", int64(count)))
+}
+
+// write appends every chunk in order. After a lost answer the snapshot is
+// given up, since a chunk that stands twice makes it incomplete.
+func (s *Snapshotter) write(ctx context.Context, m *manifester.Manifest, next recorder.Offset) (int, error) {
+	chunks := Split(ID(rand.Text()), m, next)
+	for _, c := range chunks {
+		data, err := s.encode(c)
+		if err != nil {
+			return 0, err
+		}
+		if _, err := s.log.Append(ctx, recorder.StreamSnapshots, data); err != nil {
+			return 0, errors.Wrapf(err, "appending chunk %d of %d", c.index, c.count)
+		}
+	}
+
+	return len(chunks), nil
+}
