--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -21,6 +21,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
 	"github.com/lagoonkeel/lagoonkeel/internal/picker"
+	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
@@ -35,13 +36,18 @@
 	logger   *logger.Logger
 	timers   *timer.Service
 	follower *follower.Follower
-	config   *configuration
 	watcher  *member.Watcher
 	server   *messenger.Server
 	pool     *messenger.Pool
 	listener *listener.Listener
+	// stopper runs the listener and the planned stop.
+	stopper *stopper
+	// transport holds the connections to targets.
+	transport *forwarder.Transport
 	// operators serves readiness, status and metrics.
 	operators *operators
+	// controllers run from the start to the end of the process.
+	controllers []supervisor.Controller
 }
 
 // sockets are the open listeners of a VM.
@@ -65,17 +71,42 @@
 		pool:     messenger.NewPool(),
 	}
 	v.follower = newFollower(s, v.timers, l)
-	self := member.NewVM(member.ID(s.ID()), 0, open.peers.Addr().String(), s.DataCentre())
+	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
-	if v.config, err = newConfiguration(v); err != nil {
+	v.transport = forwarder.NewTransport(v.timers, v.connections)
+	if err := addConfiguration(v); err != nil {
 		return nil, err
 	}
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
+	v.stopper = &stopper{
+		grace:  s.StopGrace(),
+		front:  v.listener,
+		timers: v.timers,
+		logger: l,
+	}
 	v.operators = newOperators(open.operators, v)
+	v.controllers = append(v.controllers,
+		v.timers,
+		v.follower,
+		v.watcher,
+		v.server,
+		v.transport,
+		v.operators,
+		v.stopper,
+	)
 
 	return v, nil
 }
 
+// advertised returns the address at which other VMs reach this one.
+func advertised(s *configurer.Settings, peers net.Listener) string {
+	if s.Advertised() != "" {
+		return s.Advertised()
+	}
+
+	return peers.Addr().String()
+}
+
 func listen(s *configurer.Settings) (*sockets, error) {
 	open := &sockets{}
 	config := net.ListenConfig{}
@@ -108,8 +139,9 @@
 		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
 		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
+		filterer.NewRetry(retrier.New(), v.timers),
 		filterer.NewPick(picker.NewRandom(), v.timers),
-		filterer.NewForward(forwarder.NewTransport(v.timers)),
+		filterer.NewForward(v.transport),
 	)
 }
 
@@ -119,7 +151,7 @@
 
 // Ready reports whether the VM may get callers' requests.
 func (v *VM) Ready() bool {
-	return v.follower.Ready()
+	return v.follower.Ready() && !v.stopper.Stopping()
 }
 
 // Version returns the version of the manifest in force on this VM.
@@ -135,11 +167,15 @@
 // Run serves until ctx ends, then stops gracefully.
 func (v *VM) Run(ctx context.Context) error {
 	v.logger.Log(logger.Started,
-		logger.Text("callers", v.settings.Callers()),
+		logger.Text("callers", v.listener.Address()),
 		logger.Text("peers", v.settings.Peers()),
 		logger.Text("operators", v.settings.Operators()))
 	start := v.timers.Now()
-	err := supervisor.Run(ctx, v.timers, v.follower, v.config.relayer, v.config.snapshotter, v.watcher, v.server, v.listener, v.operators)
+	running, finish := context.WithCancel(context.WithoutCancel(ctx))
+	defer finish()
+	v.stopper.asked = ctx
+	v.stopper.finish = finish
+	err := supervisor.Run(running, v.controllers...)
 	if err != nil {
 		v.logger.Log(logger.Failed, logger.Failure(err))
 
--- a/internal/assembler/config.go
+++ b/internal/assembler/config.go
@@ -16,30 +16,23 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
-// configuration holds the controllers of the configuration.
-type configuration struct {
-	follower    *follower.Follower
-	relayer     *relayer.Relayer
-	snapshotter *snapshotter.Snapshotter
-}
-
 func newFollower(s *configurer.Settings, t *timer.Service, l *logger.Logger) *follower.Follower {
 	log := streamer.NewClient(s.LogBase())
 
 	return follower.New(log, snapshotter.NewLoader(log, decoder.Chunk), decoder.Change, t, l)
 }
 
-// newConfiguration joins the follower with the peers and the snapshots.
-func newConfiguration(v *VM) (*configuration, error) {
+// addConfiguration joins the follower with the peers and the snapshots.
+func addConfiguration(v *VM) error {
 	self := member.ID(v.settings.ID())
 	if err := messenger.RegisterConfiguration(v.server.Mux(), self, v.follower); err != nil {
-		return nil, errors.Wrap(err, "building the configuration")
+		return errors.Wrap(err, "building the configuration")
 	}
 	log := streamer.NewClient(v.settings.LogBase())
+	v.controllers = append(v.controllers,
+		relayer.New(v.follower, messenger.NewConfiguration(self, v.pool), v.watcher, v.timers),
+		snapshotter.New(log, encoder.Chunk, v.follower, v.watcher, v.timers, v.settings.Retention(), v.logger),
+	)
 
-	return &configuration{
-		follower:    v.follower,
-		relayer:     relayer.New(v.follower, messenger.NewConfiguration(self, v.pool), v.watcher, v.timers),
-		snapshotter: snapshotter.New(log, encoder.Chunk, v.follower, v.watcher, v.timers, v.settings.LogRetention(), v.logger),
-	}, nil
+	return nil
 }
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -9,8 +9,8 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 )
 
-// DefaultLogRetention is how long the log is taken to keep a record.
-const DefaultLogRetention = 24 * time.Hour
+// DefaultRetention is how long the log is taken to keep a record.
+const DefaultRetention = 24 * time.Hour
 
 // Settings are the checked settings of a process.
 type Settings struct {
@@ -21,13 +21,17 @@
 	callers   string
 	peers     string
 	operators string
+	// advertised is the address at which other VMs reach the peers' listener.
+	advertised string
 	// logBase and listBase are the base addresses of the platform's services.
 	logBase  string
 	listBase string
-	// logRetention is how long the log keeps a record; above 0.
-	logRetention time.Duration
+	// retention is how long the log keeps a record; above 0.
+	retention time.Duration
 	// maxBody bounds a request's body in bytes.
-	maxBody   int
+	maxBody int
+	// stopGrace is how long a stopping VM serves on while it is not ready.
+	stopGrace time.Duration
 	logFormat logger.Format
 	tracing   Tracing
 }
@@ -77,30 +81,34 @@
 	Callers    string
 	Peers      string
 	Operators  string
+	Advertised string
 	LogBase    string
 	ListBase   string
-	// LogRetention is DefaultLogRetention where it is 0.
-	LogRetention time.Duration
-	MaxBody      int
-	LogFormat    logger.Format
-	Tracing      Tracing
+	// Retention is DefaultRetention where it is 0.
+	Retention time.Duration
+	MaxBody   int
+	StopGrace time.Duration
+	LogFormat logger.Format
+	Tracing   Tracing
 }
 
 // New returns settings.
 func New(s Spec) *Settings {
 	return &Settings{
-		id:           s.ID,
-		dataCentre:   s.DataCentre,
-		region:       s.Region,
-		callers:      s.Callers,
-		peers:        s.Peers,
-		operators:    s.Operators,
-		logBase:      s.LogBase,
-		listBase:     s.ListBase,
-		logRetention: cmp.Or(s.LogRetention, DefaultLogRetention),
-		maxBody:      s.MaxBody,
-		logFormat:    s.LogFormat,
-		tracing:      s.Tracing,
+		id:         s.ID,
+		dataCentre: s.DataCentre,
+		region:     s.Region,
+		callers:    s.Callers,
+		peers:      s.Peers,
+		operators:  s.Operators,
+		advertised: s.Advertised,
+		logBase:    s.LogBase,
+		listBase:   s.ListBase,
+		retention:  cmp.Or(s.Retention, DefaultRetention),
+		maxBody:    s.MaxBody,
+		stopGrace:  s.StopGrace,
+		logFormat:  s.LogFormat,
+		tracing:    s.Tracing,
 	}
 }
 
@@ -119,6 +127,10 @@
 // Peers returns the address of the peers' listener.
 func (s *Settings) Peers() string { return s.peers }
 
+// Advertised returns the address at which other VMs reach the peers' listener,
+// or "" where that is the address of the listener itself.
+func (s *Settings) Advertised() string { return s.advertised }
+
 // Operators returns the address of the operators' listener.
 func (s *Settings) Operators() string { return s.operators }
 
@@ -128,12 +140,15 @@
 // ListBase returns the base address of the VM list.
 func (s *Settings) ListBase() string { return s.listBase }
 
-// LogRetention returns how long the log keeps a record at least.
-func (s *Settings) LogRetention() time.Duration { return s.logRetention }
+// Retention returns how long the log keeps a record at least.
+func (s *Settings) Retention() time.Duration { return s.retention }
 
 // MaxBody returns the bound of a request's body in bytes.
 func (s *Settings) MaxBody() int { return s.maxBody }
 
+// StopGrace returns how long a stopping VM serves on while it is not ready.
+func (s *Settings) StopGrace() time.Duration { return s.stopGrace }
+
 // LogFormat returns the format of log lines.
 func (s *Settings) LogFormat() logger.Format { return s.logFormat }
 
