--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -11,7 +11,6 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
-	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/follower"
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
@@ -24,7 +23,6 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/meter"
 	"github.com/lagoonkeel/lagoonkeel/internal/picker"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
-	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/internal/tracer"
@@ -80,10 +78,13 @@
 	if v.tracer, err = tracer.New(context.Background(), s.Tracing(), s.ID()); err != nil {
 		return nil, err
 	}
-	v.follower = follower.New(streamer.NewClient(s.LogBase()), decoder.Change, v.timers, l)
+	v.follower = newFollower(s, v.timers, l)
 	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
 	v.transport = forwarder.NewTransport(v.timers, v.connections)
+	if err := addConfiguration(v); err != nil {
+		return nil, err
+	}
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
 	v.stopper = &stopper{
 		grace:  s.StopGrace(),
@@ -141,9 +142,11 @@
 		filterer.NewTraceRequest(v.tracer),
 		filterer.NewCount(v.meter, v.timers),
 		filterer.NewLimit(v.settings.MaxBody(), maxFields),
+		filterer.NewReady(v.follower),
 		filterer.NewAuthenticate(v.follower),
 		filterer.NewScrub(),
 		filterer.NewRoute(),
+		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
 		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
 		filterer.NewRetry(retrier.New(), v.timers),
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -19,6 +19,10 @@
 	defaultStopGrace = 4 * time.Second
 	maxStopGrace     = 10 * time.Minute
 	maxPort          = 1<<16 - 1
+	// minRetention and maxRetention bound how long the log may be said
+	// to keep records.
+	minRetention = time.Minute
+	maxRetention = 10 * 365 * 24 * time.Hour
 )
 
 // Settings reads a settings document. The error is manifester.Faults.
@@ -44,6 +48,7 @@
 	r.object("platform", func(o *reader) {
 		spec.LogBase = o.base("log")
 		spec.ListBase = o.base("vms")
+		spec.Retention = o.millis("logRetentionMs", configurer.DefaultRetention, minRetention, maxRetention)
 	})
 	r.object("traces", func(o *reader) {
 		spec.Tracing = readTracing(o)
