--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -9,8 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/borrower"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
-	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/follower"
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
@@ -20,10 +20,12 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
+	"github.com/lagoonkeel/lagoonkeel/internal/meter"
 	"github.com/lagoonkeel/lagoonkeel/internal/picker"
-	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
+	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/internal/tracer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
@@ -39,10 +41,19 @@
 	watcher  *member.Watcher
 	server   *messenger.Server
 	pool     *messenger.Pool
-	rates    *rates
 	listener *listener.Listener
+	tracer   *tracer.Tracer
+	meter    *meter.Meter
+	// stopper runs the listener and the planned stop.
+	stopper *stopper
+	// transport holds the connections to targets.
+	transport *forwarder.Transport
+	// borrower admits callers' requests by the fleet-wide rates.
+	borrower *borrower.Borrower
 	// operators serves readiness, status and metrics.
 	operators *operators
+	// controllers run from the start to the end of the process.
+	controllers []supervisor.Controller
 }
 
 // sockets are the open listeners of a VM.
@@ -61,23 +72,54 @@
 	v := &VM{
 		settings: s,
 		logger:   l,
+		meter:    meter.New(),
 		timers:   timer.NewService(),
 		server:   messenger.NewServer(open.peers),
 		pool:     messenger.NewPool(),
 	}
-	v.follower = follower.New(streamer.NewClient(s.LogBase()), decoder.Change, v.timers, l)
-	self := member.NewVM(member.ID(s.ID()), 0, open.peers.Addr().String(), s.DataCentre())
+	if v.tracer, err = tracer.New(context.Background(), s.Tracing(), s.ID()); err != nil {
+		return nil, err
+	}
+	v.follower = newFollower(s, v.timers, l)
+	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
-	v.rates, err = newRates(v)
-	if err != nil {
+	v.transport = forwarder.NewTransport(v.timers, v.connections)
+	if err := addConfiguration(v); err != nil {
+		return nil, err
+	}
+	if err := addRates(v); err != nil {
 		return nil, err
 	}
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
+	v.stopper = &stopper{
+		grace:  s.StopGrace(),
+		front:  v.listener,
+		timers: v.timers,
+		logger: l,
+	}
 	v.operators = newOperators(open.operators, v)
+	v.controllers = append(v.controllers,
+		v.timers,
+		v.follower,
+		v.watcher,
+		v.server,
+		v.transport,
+		v.operators,
+		v.stopper,
+	)
 
 	return v, nil
 }
 
+// advertised returns the address at which other VMs reach this one.
+func advertised(s *configurer.Settings, peers net.Listener) string {
+	if s.Advertised() != "" {
+		return s.Advertised()
+	}
+
+	return peers.Addr().String()
+}
+
 func listen(s *configurer.Settings) (*sockets, error) {
 	open := &sockets{}
 	config := net.ListenConfig{}
@@ -102,14 +144,20 @@
 // chain builds the filter chain in the order in which decisions are made.
 func (v *VM) chain() *handler.Chain {
 	return handler.NewChain(
+		filterer.NewTraceRequest(v.tracer),
+		filterer.NewCount(v.meter, v.timers),
 		filterer.NewLimit(v.settings.MaxBody(), maxFields),
+		filterer.NewReady(v.follower),
 		filterer.NewAuthenticate(v.follower),
 		filterer.NewScrub(),
 		filterer.NewRoute(),
+		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
-		filterer.NewAdmit(v.rates.borrower),
+		filterer.NewAdmit(v.borrower),
+		filterer.NewRetry(retrier.New(), v.timers),
 		filterer.NewPick(picker.NewRandom(), v.timers),
-		filterer.NewForward(forwarder.NewTransport(v.timers)),
+		filterer.NewTraceAttempt(v.tracer),
+		filterer.NewForward(v.transport),
 	)
 }
 
@@ -119,7 +167,7 @@
 
 // Ready reports whether the VM may get callers' requests.
 func (v *VM) Ready() bool {
-	return v.follower.Ready()
+	return v.follower.Ready() && !v.stopper.Stopping()
 }
 
 // Version returns the version of the manifest in force on this VM.
@@ -135,12 +183,15 @@
 // Run serves until ctx ends, then stops gracefully.
 func (v *VM) Run(ctx context.Context) error {
 	v.logger.Log(logger.Started,
-		logger.Text("callers", v.settings.Callers()),
+		logger.Text("callers", v.listener.Address()),
 		logger.Text("peers", v.settings.Peers()),
 		logger.Text("operators", v.settings.Operators()))
 	start := v.timers.Now()
-	err := supervisor.Run(ctx, v.timers, v.follower, v.watcher, v.server, v.rates.granter, v.listener, v.operators)
-	err = errors.CombineErrors(err, v.rates.borrower.Close())
+	running, finish := context.WithCancel(context.WithoutCancel(ctx))
+	defer finish()
+	v.stopper.asked = ctx
+	v.stopper.finish = finish
+	err := supervisor.Run(running, v.controllers...)
 	if err != nil {
 		v.logger.Log(logger.Failed, logger.Failure(err))
 
@@ -148,7 +199,9 @@
 	}
 	v.logger.Log(logger.Stopped, logger.Millis("ran", v.timers.Now().Sub(start)))
 
-	return errors.Wrap(v.pool.Close(), "stopping the VM")
+	err = errors.CombineErrors(v.pool.Close(), v.tracer.Close(context.WithoutCancel(ctx)))
+
+	return errors.Wrap(err, "stopping the VM")
 }
 
 // shutdownTimeout bounds the stop of the operators' listener.
--- a/internal/assembler/rates.go
+++ b/internal/assembler/rates.go
@@ -7,24 +7,16 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
 )
 
-// rates are the two sides of the fleet-wide rates on one VM.
-type rates struct {
-	// granter grants the slots that this VM holds; borrower admits callers'
-	// requests by what the holders grant.
-	granter  *granter.Granter
-	borrower *borrower.Borrower
-}
-
-// newRates builds the rates and registers their messages.
-func newRates(v *VM) (*rates, error) {
+// addRates builds both sides of the fleet-wide rates: the granter of the slots
+// that this VM holds, and the borrower that admits callers' requests.
+func addRates(v *VM) error {
 	g := granter.New(v.watcher, v.follower, v.timers)
 	if err := v.server.RegisterRates(g); err != nil {
-		return nil, err
+		return err
 	}
 	client := messenger.NewRateClient(member.ID(v.settings.ID()), g, v.pool)
+	v.borrower = borrower.New(v.timers, v.watcher, client)
+	v.controllers = append(v.controllers, g, v.borrower)
 
-	return &rates{
-		granter:  g,
-		borrower: borrower.New(v.timers, v.watcher, client),
-	}, nil
+	return nil
 }
--- a/internal/borrower/borrower.go
+++ b/internal/borrower/borrower.go
@@ -49,6 +49,8 @@
 	adding sync.Mutex
 	// tasks are the calls and the drivers of waiting requests.
 	tasks errgroup.Group
+	// ended is closed when no request can wait any more.
+	ended chan struct{}
 	calls atomic.Int64
 }
 
@@ -71,14 +73,22 @@
 		clock: c,
 		views: v,
 		asker: a,
+		ended: make(chan struct{}),
 	}
 	b.ledgers.Store(&map[string]*ledger{})
 
 	return b
 }
 
-// Close waits for the calls on their way. No request may be admitted after it.
-func (b *Borrower) Close() error {
+// Name returns the controller's name.
+func (b *Borrower) Name() string { return "borrower" }
+
+// Run waits for ctx to end and then for the calls on their way. No request may
+// be admitted after ctx ended.
+func (b *Borrower) Run(ctx context.Context) error {
+	<-ctx.Done()
+	close(b.ended)
+
 	return b.tasks.Wait() //nolint:wrapcheck // The tasks return no errors.
 }
 
@@ -267,6 +277,8 @@
 	l.mu.Unlock()
 	defer t.Stop()
 	select {
+	case <-b.ended:
+		return false
 	case <-l.nudge:
 		return true
 	case <-t.Due():
--- a/internal/borrower/borrower_test.go
+++ b/internal/borrower/borrower_test.go
@@ -152,9 +152,9 @@
 	if n := float64(admitted.Load()); n > most || n == 0 {
 		t.Errorf("%v requests were admitted; want more than 0 and at most %v", n, most)
 	}
-	if err := b.Close(); err != nil {
+	cancel()
+	if err := b.Run(ctx); err != nil {
 		t.Error(err)
 	}
-	cancel()
 	<-running
 }
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
@@ -13,7 +14,15 @@
 const (
 	defaultMaxBody = 1 << 20
 	largestMaxBody = 64 << 20
-	maxPort        = 1<<16 - 1
+	// defaultStopGrace covers a balancer that probes each second and needs
+	// three failures.
+	defaultStopGrace = 4 * time.Second
+	maxStopGrace     = 10 * time.Minute
+	maxPort          = 1<<16 - 1
+	// minRetention and maxRetention bound how long the log may be said
+	// to keep records.
+	minRetention = time.Minute
+	maxRetention = 10 * 365 * 24 * time.Hour
 )
 
 // Settings reads a settings document. The error is manifester.Faults.
@@ -26,6 +35,7 @@
 		ID:         r.filled("id"),
 		DataCentre: r.filled("dataCentre"),
 		Region:     r.filled("region"),
+		StopGrace:  r.millis("stopGraceMs", defaultStopGrace, 0, maxStopGrace),
 		MaxBody:    int(r.integer("maxBodyBytes", defaultMaxBody, 1, largestMaxBody)),
 		LogFormat:  logger.Format(r.choice("logFormat", string(logger.FormatLogfmt), string(logger.FormatJSON))),
 	}
@@ -33,10 +43,12 @@
 		spec.Callers = o.address("callers")
 		spec.Peers = o.address("peers")
 		spec.Operators = o.address("operators")
+		spec.Advertised = o.optionalAddress("peersAdvertised")
 	})
 	r.object("platform", func(o *reader) {
 		spec.LogBase = o.base("log")
 		spec.ListBase = o.base("vms")
+		spec.Retention = o.millis("logRetentionMs", configurer.DefaultRetention, minRetention, maxRetention)
 	})
 	r.object("traces", func(o *reader) {
 		spec.Tracing = readTracing(o)
@@ -74,16 +86,33 @@
 
 // address takes a required IP address and port.
 func (r *reader) address(name string) string {
-	const accept = "an IP address and port such as 10.0.0.1:8080"
-	v, ok := r.require(name, accept)
+	v, ok := r.require(name, acceptAddress)
 	if !ok {
 		return ""
 	}
+
+	return r.asAddress(name, v)
+}
+
+// optionalAddress takes an IP address and port, or "" where it is missing.
+func (r *reader) optionalAddress(name string) string {
+	v, ok := r.take(name)
+	if !ok {
+		return ""
+	}
+
+	return r.asAddress(name, v)
+}
+
+// acceptAddress tells what is taken as an address.
+const acceptAddress = "an IP address and port such as 10.0.0.1:8080"
+
+func (r *reader) asAddress(name string, v any) string {
 	s := r.asText(name, v)
 	host, port, err := net.SplitHostPort(s)
 	n, convErr := strconv.Atoi(port)
 	if err != nil || convErr != nil || net.ParseIP(host) == nil || n < 0 || n > maxPort {
-		r.collector.add(r.at(name), fmt.Sprintf("%q is not an address", s), accept)
+		r.collector.add(r.at(name), fmt.Sprintf("%q is not an address", s), acceptAddress)
 	}
 
 	return s
