Show the whole path by a demo in one process and by one with many

Cause: a newcomer needs one command that shows what the fleet does. The proofs now depend on the programs' code, so that the test cache keeps no result of older programs.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,12 @@
 lint: ## Run the linter.
 	$(GOBIN)/golangci-lint run --allow-parallel-runners ./...
 
+demo: ## Show the whole path in one process.
+	go run ./cmd/lagoonkeel demo
+
+demo-processes: build ## Show the whole path with separate processes.
+	bash scripts/demo-processes.sh
+
 vet: ## Run go vet.
 	go vet ./...
 
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -175,6 +175,11 @@
 	return v.listener.Address()
 }
 
+// Peers returns the address at which other VMs reach this one.
+func (v *VM) Peers() string {
+	return v.watcher.View().Self().Address()
+}
+
 // Run serves until ctx ends, then stops gracefully.
 func (v *VM) Run(ctx context.Context) error {
 	v.logger.Log(logger.Started,
--- /dev/null
+++ b/internal/commander/cmd_demo.go
@@ -0,0 +1,19 @@
+package commander
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/demonstrator"
+)
+
+var cmdDemo = command{
+	name:    "demo",
+	line:    "Show the whole path in one process, on stand-ins, within 30 s.",
+	example: "  lagoonkeel demo",
+	action: func(ctx context.Context, c *cobra.Command, _ []string) error {
+		return errors.Wrap(demonstrator.Run(ctx, c.OutOrStdout()), "demonstrating")
+	},
+}
--- a/internal/prover/harness_test.go
+++ b/internal/prover/harness_test.go
@@ -21,6 +21,9 @@
 	"testing"
 	"time"
 
+	// The programs' code is part of what the proofs depend on: without it the
+	// test cache would keep results of older programs.
+	_ "github.com/lagoonkeel/lagoonkeel/internal/commander"
 	"github.com/lagoonkeel/lagoonkeel/internal/keyer"
 	"github.com/lagoonkeel/lagoonkeel/internal/standin"
 )
