Settle publications by their id, and wait until they are in force

Cause: a lost answer of the log left an operator without a verdict, the loser of a race got a bare conflict, and publish returned before any VM had the version. Ruled out: never appending twice: a second append after a lost answer has a base that is no longer in force if the first one counts.

--- a/internal/assembler/operators.go
+++ b/internal/assembler/operators.go
@@ -77,6 +77,10 @@
 	ID      string `json:"id"`
 	Version int64  `json:"version"`
 	Ready   bool   `json:"ready"`
+	// Next is the offset of the next record of the configuration stream.
+	Next int64 `json:"next"`
+	// Fresh tells whether the VM may decide keyed requests.
+	Fresh   bool   `json:"fresh"`
 	Members int    `json:"members"`
 	Time    string `json:"time"`
 }
@@ -87,6 +91,8 @@
 		ID:      o.vm.settings.ID(),
 		Version: int64(o.vm.follower.Manifest().Version()),
 		Ready:   o.vm.Ready(),
+		Next:    int64(o.vm.follower.Position().Next()),
+		Fresh:   o.vm.timers.Now().Before(o.vm.follower.FreshUntil()),
 		Members: o.vm.members(),
 		Time:    time.Now().UTC().Format(time.RFC3339Nano),
 	})
--- a/internal/assembler/path_test.go
+++ b/internal/assembler/path_test.go
@@ -18,8 +18,10 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/keyer"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/publisher"
+	"github.com/lagoonkeel/lagoonkeel/internal/snapshotter"
 	"github.com/lagoonkeel/lagoonkeel/internal/standin"
 	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
@@ -134,7 +136,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := publisher.New(streamer.NewClient(logBase)).Publish(context.Background(), m); err != nil {
+	log := streamer.NewClient(logBase)
+	p := publisher.New(log, snapshotter.NewLoader(log, decoder.Chunk), timer.NewManual(0), patience)
+	plan, err := p.Plan(context.Background(), m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.Publish(context.Background(), plan); err != nil {
 		t.Fatal(err)
 	}
 }
--- /dev/null
+++ b/internal/snapshotter/snapshotter_test.go
@@ -0,0 +1,240 @@
+package snapshotter_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/encoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/member"
+	"github.com/lagoonkeel/lagoonkeel/internal/recorder"
+	"github.com/lagoonkeel/lagoonkeel/internal/snapshotter"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+var errDown = errors.New("down")
+
+// state returns a manifest of many teams.
+func state(t *testing.T, v manifester.Version, teams int) *manifester.Manifest {
+	t.Helper()
+	list := make([]*manifester.Team, 0, teams)
+	for i := range teams {
+		list = append(list, manifester.NewTeam(fmt.Sprintf("team-%05d", i), 10, 5, 1, nil))
+	}
+	m, err := manifester.Restore(v, nil, list, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return m
+}
+
+// records returns the records of a snapshot.
+func records(t *testing.T, id snapshotter.ID, m *manifester.Manifest, next recorder.Offset) [][]byte {
+	t.Helper()
+	var list [][]byte
+	for _, c := range snapshotter.Split(id, m, next) {
+		data, err := encoder.Chunk(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, data)
+	}
+
+	return list
+}
+
+// fakeLog holds the snapshots stream.
+type fakeLog struct {
+	mu      sync.Mutex
+	first   recorder.Offset
+	records [][]byte
+	// failures is the number of appends that fail.
+	failures int
+}
+
+// Append implements the log.
+func (l *fakeLog) Append(_ context.Context, s recorder.Stream, data []byte) (recorder.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failures > 0 {
+		l.failures--
+
+		return 0, recorder.NewUnavailableError(s, true, errDown)
+	}
+	l.records = append(l.records, data)
+
+	return recorder.Offset(len(l.records) - 1), nil
+}
+
+// Read implements the log.
+func (l *fakeLog) Read(_ context.Context, _ recorder.Stream, from recorder.Offset, _ time.Duration) (recorder.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if from < l.first {
+		return recorder.Batch{}, recorder.NewExpiredError(from, l.first)
+	}
+	var list []recorder.Record
+	for o := from; int(o) < len(l.records) && len(list) < 2; o++ {
+		list = append(list, recorder.NewRecord(o, l.records[o]))
+	}
+
+	return recorder.NewBatch(list, l.first, recorder.Offset(len(l.records))), nil
+}
+
+func (l *fakeLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return len(l.records)
+}
+
+// TestNewest compares what is read from streams with gaps, mixtures and damage
+// with the golden transcript.
+func TestNewest(t *testing.T) {
+	older := records(t, "older", state(t, 3, 5000), 4)
+	newer := records(t, "newer", state(t, 7, 4100), 9)
+	damaged := strings.Replace(string(newer[1]), "team-0", "team-X", 1)
+	join := func(parts ...[][]byte) [][]byte {
+		var all [][]byte
+		for _, p := range parts {
+			all = append(all, p...)
+		}
+
+		return all
+	}
+	var out strings.Builder
+	for _, c := range []struct {
+		name    string
+		first   recorder.Offset
+		records [][]byte
+	}{
+		{"empty", 0, nil},
+		{"one", 0, older},
+		{"two", 0, join(older, newer)},
+		{"two, the older written last", 0, join(newer, older)},
+		{"the newer has no end", 0, join(older, newer[:2])},
+		{"the newer misses its middle", 0, join(older, newer[:1], newer[2:])},
+		{"the newer has a chunk twice", 0, join(older, newer[:2], newer[1:])},
+		{"the newer is damaged", 0, join(older, newer[:1], [][]byte{[]byte(damaged)}, newer[2:])},
+		{"interleaved", 0, join(older[:1], newer[:1], older[1:2], newer[1:2], older[2:], newer[2:])},
+		{"the start has expired", 1, join(newer, older)},
+		{"both starts have expired", 4, join(older, newer)},
+		{"foreign records between", 0, join(newer[:1], [][]byte{[]byte("nonsense"), []byte("{}")}, newer[1:])},
+	} {
+		l := &fakeLog{
+			first:   c.first,
+			records: c.records,
+		}
+		m, next, err := snapshotter.NewLoader(l, decoder.Chunk).Newest(t.Context())
+		if err != nil {
+			fmt.Fprintf(&out, "%s: %v\n", c.name, err)
+
+			continue
+		}
+		fmt.Fprintf(&out, "%s: version %d, next %d, %d teams\n", c.name, m.Version(), next, len(m.Teams()))
+	}
+	goldie.New(t).Assert(t, "newest", []byte(out.String()))
+}
+
+// TestPolicy compares when a snapshot is written with the golden transcript.
+func TestPolicy(t *testing.T) {
+	p := snapshotter.NewPolicy(time.Hour)
+	var out strings.Builder
+	for _, c := range []struct {
+		at     time.Duration
+		onDuty bool
+		next   recorder.Offset
+		wrote  bool
+	}{
+		{0, true, 0, false},
+		{6 * time.Second, true, 0, false},
+		{7 * time.Second, true, 1, true},
+		{8 * time.Second, true, 2, false},
+		{10 * time.Minute, true, 256, false},
+		{11 * time.Minute, true, 257, true},
+		{25 * time.Minute, true, 257, false},
+		{26 * time.Minute, true, 257, true},
+		{27 * time.Minute, false, 900, false},
+		{28 * time.Minute, true, 900, false},
+		{28*time.Minute + 5*time.Second, true, 900, true},
+	} {
+		due := p.Due(timer.Instant(c.at), c.onDuty, c.next)
+		fmt.Fprintf(&out, "%8v on duty=%-5v next=%-3d due=%v\n", c.at, c.onDuty, c.next, due)
+		if c.wrote {
+			p.Wrote(timer.Instant(c.at), c.next)
+		}
+	}
+	goldie.New(t).Assert(t, "policy", []byte(out.String()))
+}
+
+// source is the state of one VM.
+type source struct {
+	manifest *manifester.Manifest
+	peers    []member.VM
+}
+
+// State implements the state.
+func (s *source) State() (*manifester.Manifest, recorder.Offset) { return s.manifest, 9 }
+
+// Ready implements the state.
+func (s *source) Ready() bool { return true }
+
+// View implements the view.
+func (s *source) View() *member.View {
+	return member.NewView(member.NewVM("vm-2", 0, "", ""), s.peers)
+}
+
+// run lets a snapshotter work for a time of the hand-moved clock, or until the
+// log holds the wanted number of records.
+func run(t *testing.T, l *fakeLog, s *source, d time.Duration, want int) {
+	t.Helper()
+	timers := timer.NewManual(0)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	w := snapshotter.New(l, encoder.Chunk, s, s, timers, time.Hour, logger.Discard())
+	go func() { done <- w.Run(ctx) }()
+	for range d / time.Second {
+		timers.Advance(time.Second)
+		time.Sleep(2 * time.Millisecond)
+		if want > 0 && l.count() >= want {
+			break
+		}
+	}
+	cancel()
+	<-done
+}
+
+// TestWriter writes a snapshot while on duty, after failures too, and reads it
+// back.
+func TestWriter(t *testing.T) {
+	s := &source{
+		manifest: state(t, 7, 4100),
+	}
+	l := &fakeLog{
+		failures: 1,
+	}
+	run(t, l, s, time.Hour, 3)
+	m, next, err := snapshotter.NewLoader(l, decoder.Chunk).Newest(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m.Version() != 7 || next != 9 || len(m.Teams()) != 4100 {
+		t.Errorf("read back version %d, next %d, %d teams", m.Version(), next, len(m.Teams()))
+	}
+	s.peers = []member.VM{member.NewVM("vm-1", 0, "", "")}
+	idle := &fakeLog{}
+	run(t, idle, s, time.Minute, 0)
+	if n := idle.count(); n != 0 {
+		t.Errorf("a VM off duty wrote %d records", n)
+	}
+}
--- a/pkg/manifester/manifest.go
+++ b/pkg/manifester/manifest.go
@@ -72,6 +72,13 @@
 	return t, ok
 }
 
+// Route returns the route of the name.
+func (m *Manifest) Route(name string) (*Route, bool) {
+	r, ok := m.routes[name]
+
+	return r, ok
+}
+
 // TeamOfKey returns the team that holds the key digest.
 func (m *Manifest) TeamOfKey(digest string) (*Team, bool) {
 	t, ok := m.teamsByKey[digest]
