--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -20,10 +20,12 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
+	"github.com/lagoonkeel/lagoonkeel/internal/meter"
 	"github.com/lagoonkeel/lagoonkeel/internal/picker"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/internal/tracer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
@@ -40,6 +42,8 @@
 	server   *messenger.Server
 	pool     *messenger.Pool
 	listener *listener.Listener
+	tracer   *tracer.Tracer
+	meter    *meter.Meter
 	// stopper runs the listener and the planned stop.
 	stopper *stopper
 	// transport holds the connections to targets.
@@ -66,10 +70,14 @@
 	v := &VM{
 		settings: s,
 		logger:   l,
+		meter:    meter.New(),
 		timers:   timer.NewService(),
 		server:   messenger.NewServer(open.peers),
 		pool:     messenger.NewPool(),
 	}
+	if v.tracer, err = tracer.New(context.Background(), s.Tracing(), s.ID()); err != nil {
+		return nil, err
+	}
 	v.follower = newFollower(s, v.timers, l)
 	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
@@ -131,6 +139,8 @@
 // chain builds the filter chain in the order in which decisions are made.
 func (v *VM) chain() *handler.Chain {
 	return handler.NewChain(
+		filterer.NewTraceRequest(v.tracer),
+		filterer.NewCount(v.meter, v.timers),
 		filterer.NewLimit(v.settings.MaxBody(), maxFields),
 		filterer.NewReady(v.follower),
 		filterer.NewAuthenticate(v.follower),
@@ -141,6 +151,7 @@
 		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
 		filterer.NewRetry(retrier.New(), v.timers),
 		filterer.NewPick(picker.NewRandom(), v.timers),
+		filterer.NewTraceAttempt(v.tracer),
 		filterer.NewForward(v.transport),
 	)
 }
@@ -183,7 +194,9 @@
 	}
 	v.logger.Log(logger.Stopped, logger.Millis("ran", v.timers.Now().Sub(start)))
 
-	return errors.Wrap(v.pool.Close(), "stopping the VM")
+	err = errors.CombineErrors(v.pool.Close(), v.tracer.Close(context.WithoutCancel(ctx)))
+
+	return errors.Wrap(err, "stopping the VM")
 }
 
 // shutdownTimeout bounds the stop of the operators' listener.
