--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -12,11 +12,14 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/assembler"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
+	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/keyer"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/publisher"
+	"github.com/lagoonkeel/lagoonkeel/internal/snapshotter"
 	"github.com/lagoonkeel/lagoonkeel/internal/standin"
 	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
@@ -54,6 +57,7 @@
 // fleet is what the steps are shown on.
 type fleet struct {
 	group   *errgroup.Group
+	timers  *timer.Service
 	logBase string
 	client  *http.Client
 	vms     []*vm
@@ -67,13 +71,17 @@
 func startFleet(ctx context.Context) (*fleet, error) {
 	group, ctx := errgroup.WithContext(ctx)
 	f := &fleet{
-		group: group,
+		group:  group,
+		timers: timer.NewService(),
 		client: &http.Client{
 			Timeout: callTimeout,
 		},
 		upstreams: map[string][]*standin.Upstream{},
 		addresses: map[string][]string{},
 	}
+	group.Go(func() error {
+		return f.timers.Run(ctx)
+	})
 	logAddress, err := f.serve(ctx, standin.NewLog().Handler())
 	if err != nil {
 		return nil, err
@@ -196,7 +204,13 @@
 	if err != nil {
 		return errors.Wrap(err, "building the manifest")
 	}
-	version, err := publisher.New(streamer.NewClient(f.logBase)).Publish(ctx, m)
+	log := streamer.NewClient(f.logBase)
+	p := publisher.New(log, snapshotter.NewLoader(log, decoder.Chunk), f.timers, callTimeout)
+	plan, err := p.Plan(ctx, m)
+	if err != nil {
+		return errors.Wrap(err, "planning the change")
+	}
+	version, err := p.Publish(ctx, plan)
 	if err != nil {
 		return errors.Wrap(err, "publishing the manifest")
 	}
