--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -21,6 +21,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
+	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -41,8 +42,14 @@
 	pool     *messenger.Pool
 	targets  *targets
 	listener *listener.Listener
+	// stopper runs the listener and the planned stop.
+	stopper *stopper
+	// transport holds the connections to targets.
+	transport *forwarder.Transport
 	// operators serves readiness, status and metrics.
 	operators *operators
+	// controllers run from the start to the end of the process.
+	controllers []supervisor.Controller
 }
 
 // sockets are the open listeners of a VM.
@@ -66,17 +73,43 @@
 		pool:     messenger.NewPool(),
 	}
 	v.follower = follower.New(streamer.NewClient(s.LogBase()), decoder.Change, v.timers, l)
-	self := member.NewVM(member.ID(s.ID()), 0, open.peers.Addr().String(), s.DataCentre())
+	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
 	if v.targets, err = newTargets(v); err != nil {
 		return nil, err
 	}
+	v.transport = forwarder.NewTransport(v.timers, v.connections)
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
+	v.stopper = &stopper{
+		grace:  s.StopGrace(),
+		front:  v.listener,
+		timers: v.timers,
+		logger: l,
+	}
 	v.operators = newOperators(open.operators, v)
+	v.controllers = append(v.controllers,
+		v.timers,
+		v.follower,
+		v.watcher,
+		v.server,
+		v.transport,
+		v.operators,
+		v.stopper,
+	)
+	v.controllers = append(v.controllers, v.targets.controllers()...)
 
 	return v, nil
 }
 
+// advertised returns the address at which other VMs reach this one.
+func advertised(s *configurer.Settings, peers net.Listener) string {
+	if s.Advertised() != "" {
+		return s.Advertised()
+	}
+
+	return peers.Addr().String()
+}
+
 func listen(s *configurer.Settings) (*sockets, error) {
 	open := &sockets{}
 	config := net.ListenConfig{}
@@ -107,8 +140,9 @@
 		filterer.NewRoute(),
 		filterer.NewDeadline(),
 		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
+		filterer.NewRetry(retrier.New(), v.timers),
 		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
-		filterer.NewForward(forwarder.NewTransport(v.timers)),
+		filterer.NewForward(v.transport),
 	)
 }
 
@@ -118,7 +152,7 @@
 
 // Ready reports whether the VM may get callers' requests.
 func (v *VM) Ready() bool {
-	return v.follower.Ready()
+	return v.follower.Ready() && !v.stopper.Stopping()
 }
 
 // Version returns the version of the manifest in force on this VM.
@@ -134,12 +168,15 @@
 // Run serves until ctx ends, then stops gracefully.
 func (v *VM) Run(ctx context.Context) error {
 	v.logger.Log(logger.Started,
-		logger.Text("callers", v.settings.Callers()),
+		logger.Text("callers", v.listener.Address()),
 		logger.Text("peers", v.settings.Peers()),
 		logger.Text("operators", v.settings.Operators()))
 	start := v.timers.Now()
-	controllers := append([]supervisor.Controller{v.timers, v.follower, v.watcher, v.server, v.listener, v.operators}, v.targets.controllers()...)
-	err := supervisor.Run(ctx, controllers...)
+	running, finish := context.WithCancel(context.WithoutCancel(ctx))
+	defer finish()
+	v.stopper.asked = ctx
+	v.stopper.finish = finish
+	err := supervisor.Run(running, v.controllers...)
 	if err != nil {
 		v.logger.Log(logger.Failed, logger.Failure(err))
 
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -2,7 +2,11 @@
 // addresses and the platform; what the fleet does is declared in the manifest.
 package configurer
 
-import "github.com/lagoonkeel/lagoonkeel/internal/logger"
+import (
+	"time"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+)
 
 // Settings are the checked settings of a process.
 type Settings struct {
@@ -13,11 +17,15 @@
 	callers   string
 	peers     string
 	operators string
+	// advertised is the address at which other VMs reach the peers' listener.
+	advertised string
 	// logBase and listBase are the base addresses of the platform's services.
 	logBase  string
 	listBase string
 	// maxBody bounds a request's body in bytes.
-	maxBody   int
+	maxBody int
+	// stopGrace is how long a stopping VM serves on while it is not ready.
+	stopGrace time.Duration
 	logFormat logger.Format
 	tracing   Tracing
 }
@@ -67,9 +75,11 @@
 	Callers    string
 	Peers      string
 	Operators  string
+	Advertised string
 	LogBase    string
 	ListBase   string
 	MaxBody    int
+	StopGrace  time.Duration
 	LogFormat  logger.Format
 	Tracing    Tracing
 }
@@ -83,9 +93,11 @@
 		callers:    s.Callers,
 		peers:      s.Peers,
 		operators:  s.Operators,
+		advertised: s.Advertised,
 		logBase:    s.LogBase,
 		listBase:   s.ListBase,
 		maxBody:    s.MaxBody,
+		stopGrace:  s.StopGrace,
 		logFormat:  s.LogFormat,
 		tracing:    s.Tracing,
 	}
@@ -106,6 +118,10 @@
 // Peers returns the address of the peers' listener.
 func (s *Settings) Peers() string { return s.peers }
 
+// Advertised returns the address at which other VMs reach the peers' listener,
+// or "" where that is the address of the listener itself.
+func (s *Settings) Advertised() string { return s.advertised }
+
 // Operators returns the address of the operators' listener.
 func (s *Settings) Operators() string { return s.operators }
 
@@ -118,6 +134,9 @@
 // MaxBody returns the bound of a request's body in bytes.
 func (s *Settings) MaxBody() int { return s.maxBody }
 
+// StopGrace returns how long a stopping VM serves on while it is not ready.
+func (s *Settings) StopGrace() time.Duration { return s.stopGrace }
+
 // LogFormat returns the format of log lines.
 func (s *Settings) LogFormat() logger.Format { return s.logFormat }
 
--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -5,8 +5,11 @@
 package ejector
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
@@ -71,8 +74,37 @@
 	ResultShed
 	// ResultDraining is a refusal by the target because it is leaving.
 	ResultDraining
+	// ResultNone is an attempt that tells nothing about the target.
+	ResultNone
 )
 
+// Outcome is a finished attempt.
+type Outcome struct {
+	// started is when the attempt was counted as open.
+	started timer.Instant
+	// took is the time to the first byte, or to the failure.
+	took   time.Duration
+	result Result
+}
+
+// NewOutcome returns the outcome of an attempt.
+func NewOutcome(started timer.Instant, took time.Duration, r Result) Outcome {
+	return Outcome{
+		started: started,
+		took:    took,
+		result:  r,
+	}
+}
+
+// Started returns when the attempt was counted as open.
+func (o Outcome) Started() timer.Instant { return o.started }
+
+// Took returns the time to the first byte, or to the failure.
+func (o Outcome) Took() time.Duration { return o.took }
+
+// Result returns how the attempt ended.
+func (o Outcome) Result() Result { return o.result }
+
 // Grade tells how much work a target gets.
 type Grade int
 
--- a/internal/ejector/samples.go
+++ b/internal/ejector/samples.go
@@ -13,6 +13,9 @@
 	// startSlots times startWidth is the age up to which an open attempt is
 	// told from a new one.
 	startSlots = 256
+	// timeoutPart divides the slow bound for attempts that were cut short: one
+	// that the caller gave less time says nothing about the target.
+	timeoutPart = 2
 )
 
 // Samples counts the attempts of this VM at one target. All counters only
@@ -49,35 +52,40 @@
 	return s.inFlight.Add(1)
 }
 
-// End closes an attempt that began at started and took the given time to its
-// first byte or its failure.
-func (s *Samples) End(started timer.Instant, took time.Duration, r Result) {
-	s.starts[startSlot(started)].Add(-1)
+// End closes an attempt.
+func (s *Samples) End(o Outcome) {
+	s.starts[startSlot(o.started)].Add(-1)
 	s.inFlight.Add(-1)
-	if r == ResultConnect {
+	bound := s.latencies.SlowBound()
+	switch o.result {
+	case ResultConnect:
 		s.connectStreak.Add(1)
-
-		return
-	}
-	s.connectStreak.Store(0)
-	late := took >= s.latencies.SlowBound()
-	switch r {
 	case ResultFailed:
-		s.failed.Add(1)
-		s.finished.Add(1)
+		s.finish(&s.failed)
 	case ResultOK:
-		s.latencies.observe(took)
-		if late {
-			s.slow.Add(1)
+		s.latencies.observe(o.took)
+		if o.took >= bound {
+			s.finish(&s.slow)
+		} else {
+			s.finish(nil)
 		}
-		s.finished.Add(1)
 	case ResultTimeout:
-		if late {
-			s.slow.Add(1)
-			s.finished.Add(1)
+		if o.took >= bound/timeoutPart {
+			s.finish(&s.slow)
 		}
-	case ResultConnect, ResultShed, ResultDraining:
+	case ResultShed, ResultDraining:
+		s.connectStreak.Store(0)
+	case ResultNone:
+	}
+}
+
+// finish counts an attempt that reached the target, and its fault if any.
+func (s *Samples) finish(fault *atomic.Uint64) {
+	s.connectStreak.Store(0)
+	if fault != nil {
+		fault.Add(1)
 	}
+	s.finished.Add(1)
 }
 
 // overdue returns the number of open attempts that are older than the bound.
--- a/internal/filterer/pick.go
+++ b/internal/filterer/pick.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
-
-	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/ejector"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
@@ -17,8 +14,8 @@
 	// Pick returns a target for a new attempt, or false where none may be used.
 	// Done must be called once with every target returned.
 	Pick(now timer.Instant, service *manifester.Service, tried []string) (*manifester.Target, bool)
-	// Done reports how the attempt ended and how long it took.
-	Done(now timer.Instant, service *manifester.Service, target *manifester.Target, took time.Duration, r ejector.Result)
+	// Done reports how the attempt ended.
+	Done(now timer.Instant, service *manifester.Service, target *manifester.Target, o ejector.Outcome)
 }
 
 type drainNoter interface {
@@ -53,54 +50,48 @@
 		return handler.NewRefusal(handler.CodeNoTarget, "no target of the service can take the request")
 	}
 	x.SetTarget(target)
+	before := x.Attempt()
 	err := next.Serve(ctx, x)
 	end := p.clock.Now()
-	r := result(x, err)
-	p.picker.Done(end, x.Service(), target, end.Sub(start), r)
-	if r == ejector.ResultDraining {
+	result, took := ejector.ResultNone, end.Sub(start)
+	if a := x.Attempt(); a != nil && a != before {
+		result = resultOf(a)
+		if a.FirstByte() > 0 {
+			took = a.FirstByte()
+		}
+	}
+	p.picker.Done(end, x.Service(), target, ejector.NewOutcome(start, took, result))
+	if result == ejector.ResultDraining {
 		p.drains.Note(end, target.Address())
 	}
 
 	return err
 }
 
-const (
-	// upstreamStateField is the field by which an upstream tells that it did
-	// not run a request.
-	upstreamStateField = "Upstream-State"
-	upstreamDraining   = "draining"
-)
-
-// result returns what an attempt is evidence of.
-func result(x *handler.Exchange, err error) ejector.Result {
-	if err == nil {
-		return answerResult(x.Response())
-	}
-	var r *handler.Refusal
-	if !errors.As(err, &r) {
-		return ejector.ResultTimeout
-	}
-	switch r.Code() {
-	case handler.CodeConnect:
+// resultOf returns what an attempt is evidence of.
+func resultOf(a *handler.Attempt) ejector.Result {
+	switch a.Fault() {
+	case handler.FaultNone:
+		return answerResult(a.Status())
+	case handler.FaultConnect:
 		return ejector.ResultConnect
-	case handler.CodeShed:
+	case handler.FaultShed:
 		return ejector.ResultShed
-	case handler.CodeUpstream:
+	case handler.FaultDraining:
+		return ejector.ResultDraining
+	case handler.FaultSlow, handler.FaultCanceled:
+		return ejector.ResultTimeout
+	case handler.FaultReset, handler.FaultTruncated, handler.FaultMalformed:
 		return ejector.ResultFailed
 	default:
-		return ejector.ResultTimeout
+		return ejector.ResultNone
 	}
 }
 
-func answerResult(r *handler.Response) ejector.Result {
-	switch {
-	case r == nil || r.Status() < http.StatusInternalServerError:
-		return ejector.ResultOK
-	case r.Fields().Get(upstreamStateField) == upstreamDraining:
-		return ejector.ResultDraining
-	case r.Status() == http.StatusServiceUnavailable && r.Fields().Get(upstreamStateField) != "":
-		return ejector.ResultShed
-	default:
+func answerResult(status int) ejector.Result {
+	if status >= http.StatusInternalServerError && status != http.StatusNotImplemented {
 		return ejector.ResultFailed
 	}
+
+	return ejector.ResultOK
 }
--- a/internal/picker/balancer.go
+++ b/internal/picker/balancer.go
@@ -224,15 +224,14 @@
 	return best.target, true
 }
 
-// Done reports how an attempt ended and how long it took to its first byte or
-// its failure.
-func (b *Balancer) Done(now timer.Instant, service *manifester.Service, target *manifester.Target, took time.Duration, r ejector.Result) {
+// Done reports how an attempt ended.
+func (b *Balancer) Done(now timer.Instant, service *manifester.Service, target *manifester.Target, o ejector.Outcome) {
 	st := b.serviceTable(service)
 	inFlight := st.inFlight()
 	g := b.gauges.gauge(ejector.KeyOf(service, target))
-	switch g.end(now, took, st, r) {
+	switch g.end(now, st, o) {
 	case pressureHigh:
-		st.gauge.limit.cut(now, max(took, st.typical))
+		st.gauge.limit.cut(now, max(o.Took(), st.typical))
 	case pressureLow:
 		st.gauge.limit.grow(inFlight)
 	case pressureUnknown:
--- a/internal/picker/baseline.go
+++ b/internal/picker/baseline.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
-	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/ejector"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -31,7 +30,7 @@
 }
 
 // Done does nothing: a random pick learns nothing.
-func (p *Random) Done(timer.Instant, *manifester.Service, *manifester.Target, time.Duration, ejector.Result) {
+func (p *Random) Done(timer.Instant, *manifester.Service, *manifester.Target, ejector.Outcome) {
 }
 
 // RoundRobin picks the targets that are not leaving in turn. It is a baseline
@@ -56,7 +55,7 @@
 }
 
 // Done does nothing: round robin learns nothing.
-func (p *RoundRobin) Done(timer.Instant, *manifester.Service, *manifester.Target, time.Duration, ejector.Result) {
+func (p *RoundRobin) Done(timer.Instant, *manifester.Service, *manifester.Target, ejector.Outcome) {
 }
 
 func untried(service *manifester.Service, tried []string) []*manifester.Target {
--- a/internal/picker/gauge.go
+++ b/internal/picker/gauge.go
@@ -57,12 +57,12 @@
 )
 
 // end takes in how an attempt ended.
-func (g *gauge) end(now timer.Instant, took time.Duration, st *serviceTable, r ejector.Result) pressure {
+func (g *gauge) end(now timer.Instant, st *serviceTable, o ejector.Outcome) pressure {
 	inFlight := g.samples.InFlight()
-	g.samples.End(now.Add(-took), took, r)
-	switch r {
+	g.samples.End(o)
+	switch o.Result() {
 	case ejector.ResultOK:
-		g.observe(took)
+		g.observe(o.Took())
 		average := time.Duration(g.latency.Load())
 		if congested(average, st.gauge.unloaded()) {
 			g.limit.cut(now, average)
@@ -74,12 +74,12 @@
 		return pressureLow
 	case ejector.ResultShed:
 		g.limit.cut(now, max(st.typical, time.Millisecond))
-		g.observe(max(took, 2*st.typical))
+		g.observe(max(o.Took(), 2*st.typical))
 
 		return pressureHigh
 	case ejector.ResultTimeout, ejector.ResultFailed, ejector.ResultConnect:
-		g.observe(max(took, failurePenalty*st.typical))
-	case ejector.ResultDraining:
+		g.observe(max(o.Took(), failurePenalty*st.typical))
+	case ejector.ResultDraining, ejector.ResultNone:
 	}
 
 	return pressureUnknown
