--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -21,7 +21,6 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
 	"github.com/lagoonkeel/lagoonkeel/internal/meter"
-	"github.com/lagoonkeel/lagoonkeel/internal/picker"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -41,6 +40,7 @@
 	watcher  *member.Watcher
 	server   *messenger.Server
 	pool     *messenger.Pool
+	targets  *targets
 	listener *listener.Listener
 	tracer   *tracer.Tracer
 	meter    *meter.Meter
@@ -81,6 +81,9 @@
 	v.follower = newFollower(s, v.timers, l)
 	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
+	if err := addTargets(v); err != nil {
+		return nil, err
+	}
 	v.transport = forwarder.NewTransport(v.timers, v.connections)
 	if err := addConfiguration(v); err != nil {
 		return nil, err
@@ -150,7 +153,7 @@
 		filterer.NewDeadline(),
 		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
 		filterer.NewRetry(retrier.New(), v.timers),
-		filterer.NewPick(picker.NewRandom(), v.timers),
+		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
 		filterer.NewForward(v.transport),
 	)
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -39,6 +39,10 @@
 	SnapshotWritten = Event{number: 209, level: LevelInfo, name: "snapshot-written", meaning: "This VM appended a whole snapshot of the configuration to the log."}
 	SnapshotFailed  = Event{number: 210, level: LevelWarn, name: "snapshot-failed", meaning: "A snapshot could not be appended; the VM on duty tries again."}
 	ListUnavailable = Event{number: 300, level: LevelWarn, name: "list-unavailable", meaning: "The platform's VM list does not answer; the VM keeps the last one."}
+	TargetEjected   = Event{number: 500, level: LevelWarn, name: "target-ejected", meaning: "A target gets trial requests only; scope path means from this VM alone."}
+	TargetReduced   = Event{number: 501, level: LevelInfo, name: "target-reduced", meaning: "A target gets a part of its work."}
+	TargetReturned  = Event{number: 502, level: LevelInfo, name: "target-returned", meaning: "A target gets all its work again, after a warm-up if it was ejected."}
+	TargetLeaving   = Event{number: 503, level: LevelInfo, name: "target-leaving", meaning: "A target is leaving and gets no new work."}
 )
 
 // Events returns every event in the order of the numbers.
@@ -48,5 +52,6 @@
 		ChangeApplied, ChangeSkipped, LogUnavailable, LogAvailable,
 		StateRestored, KeysStale, KeysFresh, LogBehind, SnapshotMissing, SnapshotWritten, SnapshotFailed,
 		ListUnavailable,
+		TargetEjected, TargetReduced, TargetReturned, TargetLeaving,
 	}
 }
