Measure the latency that a VM adds, paired with the straight path

Cause: the added latency had no figure. make measure runs every TestMeasure and writes JSON below measure/. Figures follow from a quiet machine; this commit claims none.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,10 @@
 	@test -x $(GOBIN)/gofumpt || go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
 	@test -x $(GOBIN)/golangci-lint || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
 
+measure: ## Measure the policies; writes JSON files below measure/.
+	mkdir -p measure
+	LAGOONKEEL_MEASURE=$(CURDIR)/measure go test -count=1 -p 1 -timeout 30m -v -run '^TestMeasure' ./...
+
 generate: ## Generate the messages between VMs (needs buf and its plugins).
 	buf generate
 
