--- a/internal/demonstrator/steps.go
+++ b/internal/demonstrator/steps.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -104,14 +105,15 @@
 // showStop stops one VM under load. Callers go to ready VMs only, as they do
 // behind a balancer.
 func showStop(ctx context.Context, f *fleet) (string, bool, error) {
-	var served, failed atomic.Int64
+	var served atomic.Int64
+	var failures sync.Map
 	g, callers := errgroup.WithContext(ctx)
 	for w := range loadWorkers {
 		g.Go(func() error {
 			for i := range stopLoad / loadWorkers {
 				a, err := f.call(callers, f.readyVM(w+i), http.MethodPost, "/bookings/seat-2", guidesNextKey)
 				if err != nil || a.status != http.StatusOK {
-					failed.Add(1)
+					failures.Store(fmt.Sprintf("status %d %s", a.status, a.outcome), err)
 
 					continue
 				}
@@ -128,7 +130,14 @@
 	}
 	err := g.Wait()
 
-	return fmt.Sprintf("%d of %d served", served.Load(), stopLoad), failed.Load() == 0, errors.Wrap(err, "sending a load")
+	seen := fmt.Sprintf("%d of %d served", served.Load(), stopLoad)
+	failures.Range(func(what, cause any) bool {
+		seen += fmt.Sprintf(", %v %v", what, cause)
+
+		return true
+	})
+
+	return seen, served.Load() == stopLoad, errors.Wrap(err, "sending a load")
 }
 
 // readyVM returns the nth ready VM in turn.
