Keep leases in epochs and hold ranges by them

Cause: every VM took itself for the holder of a range by the platform's list alone, so two could act at once. Ruled out: counting a restart as one change (with an odd number of members a majority with the old process and one with the new need not meet), so a restart is a removal and a join; a renewal of leases across any epoch (only the directly preceding epoch is proved by the acknowledgements). Change: epochs are numbered by accepted records of the members stream, each with the whole membership and the proof of the epoch it ends; leases by acknowledged pings; bans; resignation; ranges held on without a wait across one epoch where no ban can stand between.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -17,7 +17,6 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
-	"github.com/lagoonkeel/lagoonkeel/internal/lister"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
@@ -39,6 +38,7 @@
 	timers   *timer.Service
 	follower *follower.Follower
 	watcher  *member.Watcher
+	member   *member.Keeper
 	server   *messenger.Server
 	pool     *messenger.Pool
 	listener *listener.Listener
@@ -73,8 +73,9 @@
 		pool:     messenger.NewPool(),
 	}
 	v.follower = follower.New(streamer.NewClient(s.LogBase()), decoder.Change, v.timers, l)
-	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
-	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
+	if err := v.addMembership(advertised(s, open.peers)); err != nil {
+		return nil, err
+	}
 	v.transport = forwarder.NewTransport(v.timers, v.connections)
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
 	v.stopper = &stopper{
@@ -82,12 +83,16 @@
 		front:  v.listener,
 		timers: v.timers,
 		logger: l,
+		leavers: []leaver{
+			v.member,
+		},
 	}
 	v.operators = newOperators(open.operators, v)
 	v.controllers = append(v.controllers,
 		v.timers,
 		v.follower,
 		v.watcher,
+		v.member,
 		v.server,
 		v.transport,
 		v.operators,
@@ -143,7 +148,7 @@
 }
 
 func (v *VM) members() int {
-	return v.watcher.View().Size()
+	return v.member.View().Size()
 }
 
 // Ready reports whether the VM may get callers' requests.
--- /dev/null
+++ b/internal/assembler/member.go
@@ -0,0 +1,48 @@
+package assembler
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/encoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/lister"
+	"github.com/lagoonkeel/lagoonkeel/internal/member"
+	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
+	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
+)
+
+// addMembership builds the controllers of the platform's list and of the core
+// protocol.
+func (v *VM) addMembership(address string) error {
+	s := v.settings
+	i, err := newIncarnation()
+	if err != nil {
+		return err
+	}
+	v.watcher = member.NewWatcher(lister.NewClient(s.ListBase()), v.timers, v.logger)
+	v.member = member.NewKeeper(member.KeeperSpec{
+		Self:     member.NewVM(member.ID(s.ID()), i, address, s.DataCentre()),
+		Log:      streamer.NewClient(s.LogBase()),
+		Pinger:   messenger.NewMembership(v.pool),
+		Listings: v.watcher,
+		Timers:   v.timers,
+		Logger:   v.logger,
+		Decode:   decoder.Epoch,
+		Encode:   encoder.Epoch,
+	})
+
+	return v.server.ServeMembership(v.member)
+}
+
+// newIncarnation returns the number of this start of the process.
+func newIncarnation() (member.Incarnation, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, errors.Wrap(err, "drawing an incarnation")
+	}
+
+	return member.Incarnation(binary.BigEndian.Uint64(b[:])), nil
+}
--- a/internal/decoder/tree.go
+++ b/internal/decoder/tree.go
@@ -24,14 +24,14 @@
 	rootPath = "$"
 )
 
-// member is one member of an object, in document order.
-type member struct {
+// field is one member of an object, in document order.
+type field struct {
 	name  string
 	value any
 }
 
 // object is a decoded JSON object; names are unique.
-type object []member
+type object []field
 
 // array is a decoded JSON array.
 type array []any
@@ -111,7 +111,7 @@
 		if err != nil {
 			return nil, err
 		}
-		o = append(o, member{
+		o = append(o, field{
 			name:  name,
 			value: v,
 		})
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -23,15 +23,18 @@
 // The events, in the order of their numbers. 1xx: process; 2xx: configuration;
 // 3xx: membership; 4xx: rates and claims; 5xx: targets; 6xx: requests.
 var (
-	Started         = Event{number: 100, level: LevelInfo, name: "started", meaning: "The process listens on all its addresses."}
-	Stopping        = Event{number: 101, level: LevelInfo, name: "stopping", meaning: "A planned stop began; the VM is no longer ready and finishes its requests."}
-	Stopped         = Event{number: 102, level: LevelInfo, name: "stopped", meaning: "The process ended with every request answered."}
-	Failed          = Event{number: 103, level: LevelAlarm, name: "failed", meaning: "A part of the process failed and the process ends."}
-	ChangeApplied   = Event{number: 200, level: LevelInfo, name: "change-applied", meaning: "A published change is in force on this VM."}
-	ChangeSkipped   = Event{number: 201, level: LevelWarn, name: "change-skipped", meaning: "A record of the log was not accepted; every VM skips it."}
-	LogUnavailable  = Event{number: 202, level: LevelWarn, name: "log-unavailable", meaning: "The log service does not answer; the VM goes on with the state it has."}
-	LogAvailable    = Event{number: 203, level: LevelInfo, name: "log-available", meaning: "The log service answers again."}
-	ListUnavailable = Event{number: 300, level: LevelWarn, name: "list-unavailable", meaning: "The platform's VM list does not answer; the VM keeps the last one."}
+	Started             = Event{number: 100, level: LevelInfo, name: "started", meaning: "The process listens on all its addresses."}
+	Stopping            = Event{number: 101, level: LevelInfo, name: "stopping", meaning: "A planned stop began; the VM is no longer ready and finishes its requests."}
+	Stopped             = Event{number: 102, level: LevelInfo, name: "stopped", meaning: "The process ended with every request answered."}
+	Failed              = Event{number: 103, level: LevelAlarm, name: "failed", meaning: "A part of the process failed and the process ends."}
+	ChangeApplied       = Event{number: 200, level: LevelInfo, name: "change-applied", meaning: "A published change is in force on this VM."}
+	ChangeSkipped       = Event{number: 201, level: LevelWarn, name: "change-skipped", meaning: "A record of the log was not accepted; every VM skips it."}
+	LogUnavailable      = Event{number: 202, level: LevelWarn, name: "log-unavailable", meaning: "The log service does not answer; the VM goes on with the state it has."}
+	LogAvailable        = Event{number: 203, level: LevelInfo, name: "log-available", meaning: "The log service answers again."}
+	ListUnavailable     = Event{number: 300, level: LevelWarn, name: "list-unavailable", meaning: "The platform's VM list does not answer; the VM keeps the last one."}
+	EpochBegan          = Event{number: 301, level: LevelInfo, name: "epoch-began", meaning: "The membership changed or was renewed; holders wait out older leases where they must."}
+	MemberRecordSkipped = Event{number: 302, level: LevelInfo, name: "member-record-skipped", meaning: "A record of the members stream lost a race or is not allowed; every VM skips it."}
+	ProposalFailed      = Event{number: 303, level: LevelWarn, name: "proposal-failed", meaning: "A join, removal or renewal could not be appended; the VM tries again."}
 )
 
 // Events returns every event in the order of the numbers.
@@ -39,6 +42,6 @@
 	return []Event{
 		Started, Stopping, Stopped, Failed,
 		ChangeApplied, ChangeSkipped, LogUnavailable, LogAvailable,
-		ListUnavailable,
+		ListUnavailable, EpochBegan, MemberRecordSkipped, ProposalFailed,
 	}
 }
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -53,6 +53,14 @@
 	}
 }
 
+// Flag returns a boolean attribute.
+func Flag(name string, value bool) Attribute {
+	return Attribute{
+		name:  name,
+		value: value,
+	}
+}
+
 // Millis returns a duration attribute in milliseconds.
 func Millis(name string, d time.Duration) Attribute {
 	return Attribute{
--- a/internal/member/holding.go
+++ b/internal/member/holding.go
@@ -21,11 +21,12 @@
 // Term is one uninterrupted right to hold ranges. State that a holder built up
 // in one term must not be used in another.
 type Term struct {
+	// epoch is the one in which the right began; it may go on in later ones.
 	epoch       uint64
 	incarnation Incarnation
 }
 
-// NewTerm returns the term of an incarnation in an epoch.
+// NewTerm returns the term of an incarnation that began in an epoch.
 func NewTerm(epoch uint64, incarnation Incarnation) Term {
 	return Term{
 		epoch:       epoch,
@@ -33,27 +34,12 @@
 	}
 }
 
-// Epoch returns the epoch of the term.
+// Epoch returns the epoch in which the term began.
 func (t Term) Epoch() uint64 { return t.epoch }
 
 // Incarnation returns the holder's incarnation.
 func (t Term) Incarnation() Incarnation { return t.incarnation }
 
-// Holder returns the member that should hold the range: the first in the
-// range's rendezvous order. It is a hint for callers; only the member itself
-// knows whether it is active.
-func (v *View) Holder(r Range) VM {
-	first := v.self
-	best := score(r, v.self)
-	for _, p := range v.peers {
-		if s := score(r, p); s > best {
-			first, best = p, s
-		}
-	}
-
-	return first
-}
-
 // score orders members for a range; all VMs compute the same order.
 func score(r Range, v VM) uint64 {
 	var d xxhash.Digest
@@ -67,11 +53,3 @@
 
 	return d.Sum64()
 }
-
-// Active reports whether this VM may act as the holder of the range at this
-// moment, and in which term. It must be asked immediately before each act.
-func (w *Watcher) Active(r Range) (Term, bool) {
-	v := w.View()
-
-	return NewTerm(0, v.self.incarnation), v.Holder(r).ID() == v.self.ID()
-}
--- /dev/null
+++ b/internal/member/message.go
@@ -0,0 +1,139 @@
+package member
+
+// Ping asks a VM to acknowledge the sender in an epoch.
+type Ping struct {
+	from  VM
+	epoch uint64
+	// leased tells that the sender's lease was valid at the sending.
+	leased bool
+	// resigned tells that the sender holds nothing any more, for good.
+	resigned bool
+	// suspects are members that the receiver is asked to ban in the epoch.
+	suspects []Incarnation
+	// banned are members whose ban a majority of the epoch has promised.
+	banned []Incarnation
+	// entry began the sender's epoch; nil where the receiver is known to have it.
+	entry *Entry
+}
+
+// PingSpec lists the fields of a ping.
+type PingSpec struct {
+	From     VM
+	Epoch    uint64
+	Leased   bool
+	Resigned bool
+	Suspects []Incarnation
+	Banned   []Incarnation
+	Entry    *Entry
+}
+
+// NewPing returns a ping.
+func NewPing(s PingSpec) *Ping {
+	return &Ping{
+		from:     s.From,
+		epoch:    s.Epoch,
+		leased:   s.Leased,
+		resigned: s.Resigned,
+		suspects: s.Suspects,
+		banned:   s.Banned,
+		entry:    s.Entry,
+	}
+}
+
+// From returns the sender.
+func (p *Ping) From() VM { return p.from }
+
+// Epoch returns the sender's epoch.
+func (p *Ping) Epoch() uint64 { return p.epoch }
+
+// Leased reports whether the sender's lease was valid at the sending.
+func (p *Ping) Leased() bool { return p.leased }
+
+// Resigned reports whether the sender holds nothing any more, for good.
+func (p *Ping) Resigned() bool { return p.resigned }
+
+// Suspects returns the members that the receiver is asked to ban.
+func (p *Ping) Suspects() []Incarnation { return p.suspects }
+
+// Banned returns the members whose ban a majority of the epoch has promised.
+func (p *Ping) Banned() []Incarnation { return p.banned }
+
+// Entry returns the entry that began the sender's epoch, or nil.
+func (p *Ping) Entry() *Entry { return p.entry }
+
+// Reply answers a ping.
+type Reply struct {
+	from  Incarnation
+	epoch uint64
+	// acknowledged counts towards the lease of the ping's sender in epoch.
+	acknowledged bool
+	// refused tells that the replier has banned the ping's sender in epoch.
+	refused bool
+	// tainted tells that the replier banned the ping's sender in the epoch
+	// before.
+	tainted bool
+	// resigned tells that the replier holds nothing any more, for good.
+	resigned bool
+	// promised are those of the ping's suspects that the replier has banned.
+	promised []Incarnation
+	// banned are members whose ban a majority of the epoch has promised.
+	banned []Incarnation
+	// entry began the replier's epoch; nil where the ping's epoch is not lower.
+	entry *Entry
+}
+
+// ReplySpec lists the fields of a reply.
+type ReplySpec struct {
+	From         Incarnation
+	Epoch        uint64
+	Acknowledged bool
+	Refused      bool
+	Tainted      bool
+	Resigned     bool
+	Promised     []Incarnation
+	Banned       []Incarnation
+	Entry        *Entry
+}
+
+// NewReply returns a reply.
+func NewReply(s ReplySpec) *Reply {
+	return &Reply{
+		from:         s.From,
+		epoch:        s.Epoch,
+		acknowledged: s.Acknowledged,
+		refused:      s.Refused,
+		tainted:      s.Tainted,
+		resigned:     s.Resigned,
+		promised:     s.Promised,
+		banned:       s.Banned,
+		entry:        s.Entry,
+	}
+}
+
+// From returns the replier's incarnation.
+func (r *Reply) From() Incarnation { return r.from }
+
+// Epoch returns the replier's epoch.
+func (r *Reply) Epoch() uint64 { return r.epoch }
+
+// Acknowledged reports whether the reply counts towards the lease.
+func (r *Reply) Acknowledged() bool { return r.acknowledged }
+
+// Refused reports whether the replier has banned the ping's sender.
+func (r *Reply) Refused() bool { return r.refused }
+
+// Tainted reports whether the replier banned the ping's sender in the epoch
+// before.
+func (r *Reply) Tainted() bool { return r.tainted }
+
+// Resigned reports whether the replier holds nothing any more, for good.
+func (r *Reply) Resigned() bool { return r.resigned }
+
+// Promised returns the suspects that the replier has banned.
+func (r *Reply) Promised() []Incarnation { return r.promised }
+
+// Banned returns the members whose ban a majority of the epoch has promised.
+func (r *Reply) Banned() []Incarnation { return r.banned }
+
+// Entry returns the entry that began the replier's epoch, or nil.
+func (r *Reply) Entry() *Entry { return r.entry }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -1,5 +1,6 @@
-// Package member keeps the membership of the fleet: which VMs there are, and
-// which of them holds a range of teams and claim keys.
+// Package member is the core protocol: it numbers the epochs of the fleet's
+// membership, keeps this VM's lease in them, and tells which VM holds a range
+// of teams and claim keys. docs/CORE-PROTOCOL.md describes it.
 package member
 
 // ID names a VM for as long as the platform keeps it.
@@ -42,23 +43,80 @@
 // View is an immutable picture of the membership.
 type View struct {
 	self VM
-	// peers are all members but self, ordered by id.
+	// epoch is 0 before the first join.
+	epoch uint64
+	// peers are all known VMs but self, ordered by id: members, and VMs of the
+	// platform's list that are no members.
 	peers []VM
+	// members are the members of the epoch, ordered by id.
+	members []VM
+	// holders has the index in members of each range's holder; it is empty
+	// where there are no members.
+	holders []int
 }
 
-// NewView returns a view. The peers must be ordered by id and without self.
+// NewView returns a view of epoch 0 in which self and the peers are members.
+// The peers must be ordered by id and without self.
 func NewView(self VM, peers []VM) *View {
-	return &View{
-		self:  self,
-		peers: append([]VM(nil), peers...),
+	members := sortedByID(append([]VM{self}, peers...))
+
+	return buildView(self, newRoster(0, noOffset, members), peers, nil)
+}
+
+// buildView returns the view of a roster. The ranges of VMs in passed are held
+// by the next in order.
+func buildView(self VM, r *Roster, peers []VM, passed func(Incarnation) bool) *View {
+	v := &View{
+		self:    self,
+		epoch:   r.epoch,
+		peers:   append([]VM(nil), peers...),
+		members: r.members,
+	}
+	if len(r.members) == 0 {
+		return v
+	}
+	v.holders = make([]int, RangeCount)
+	for i := range v.holders {
+		v.holders[i] = firstOf(r.order(Range(i)), r.members, passed)
+	}
+
+	return v
+}
+
+func firstOf(order []int, members []VM, passed func(Incarnation) bool) int {
+	for _, i := range order {
+		if passed == nil || !passed(members[i].incarnation) {
+			return i
+		}
 	}
+
+	return order[0]
 }
 
 // Self returns this VM.
 func (v *View) Self() VM { return v.self }
 
-// Peers returns every other member; the caller must not change the slice.
+// Epoch returns the number of the epoch, 0 before the first join.
+func (v *View) Epoch() uint64 { return v.epoch }
+
+// Peers returns every other VM; the caller must not change the slice.
 func (v *View) Peers() []VM { return v.peers }
 
-// Size returns the number of members, self included.
+// Members returns the members of the epoch; the caller must not change the
+// slice. Self is among them only once it has joined.
+func (v *View) Members() []VM { return v.members }
+
+// Size returns the number of known VMs, self included.
 func (v *View) Size() int { return len(v.peers) + 1 }
+
+// Holder returns the member that should hold the range: the first in the
+// range's rendezvous order that is not banned and has not resigned. Where
+// there are no members it is self. It is a hint for callers; only the member
+// itself knows whether it is active.
+func (v *View) Holder(r Range) VM {
+	if len(v.holders) == 0 {
+		return v.self
+	}
+
+	return v.members[v.holders[r]]
+}
--- a/internal/member/watcher.go
+++ b/internal/member/watcher.go
@@ -19,31 +19,56 @@
 }
 
 type ticker interface {
+	Now() timer.Instant
 	Every(d time.Duration) *timer.Subscription
 }
 
+// Listing is one answer of the platform's list.
+type Listing struct {
+	vms []lister.VM
+	// asked is the instant before the list was asked for.
+	asked timer.Instant
+}
+
+// VMs returns the platform's VMs; the caller must not change the slice.
+func (l *Listing) VMs() []lister.VM { return l.vms }
+
+// Asked returns the instant before the list was asked for.
+func (l *Listing) Asked() timer.Instant { return l.asked }
+
+// Entries returns the VMs that run lagoonkeel, but for the one named, ordered
+// by id. Their incarnations are unknown.
+func (l *Listing) Entries(self ID) []VM {
+	var out []VM
+	for _, v := range l.vms {
+		if v.Role() == lister.RoleEntry && ID(v.ID()) != self {
+			out = append(out, NewVM(ID(v.ID()), 0, v.Address(), v.DataCentre()))
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		return out[i].ID() < out[j].ID()
+	})
+
+	return out
+}
+
 // Watcher is the controller that follows the platform's list of VMs.
 type Watcher struct {
-	self   VM
 	list   vmLister
 	timers ticker
 	logger *logger.Logger
-	// view is swapped on each new list; never nil.
-	view atomic.Pointer[View]
-	// platform is the last list; never nil.
-	platform atomic.Pointer[[]lister.VM]
+	// listing is the last answer; never nil.
+	listing atomic.Pointer[Listing]
 }
 
-// NewWatcher returns a watcher for the VM self.
-func NewWatcher(self VM, list vmLister, timers ticker, l *logger.Logger) *Watcher {
+// NewWatcher returns a watcher of the list.
+func NewWatcher(list vmLister, timers ticker, l *logger.Logger) *Watcher {
 	w := &Watcher{
-		self:   self,
 		list:   list,
 		timers: timers,
 		logger: l,
 	}
-	w.view.Store(NewView(self, nil))
-	w.platform.Store(&[]lister.VM{})
+	w.listing.Store(&Listing{})
 
 	return w
 }
@@ -51,11 +76,11 @@
 // Name returns the controller's name.
 func (w *Watcher) Name() string { return "vm-list" }
 
-// View returns the present view.
-func (w *Watcher) View() *View { return w.view.Load() }
+// Listing returns the last answer, empty before the first.
+func (w *Watcher) Listing() *Listing { return w.listing.Load() }
 
 // Platform returns the platform's last list; the caller must not change it.
-func (w *Watcher) Platform() []lister.VM { return *w.platform.Load() }
+func (w *Watcher) Platform() []lister.VM { return w.Listing().vms }
 
 // Run follows the list until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
@@ -72,6 +97,7 @@
 }
 
 func (w *Watcher) refresh(ctx context.Context) {
+	asked := w.timers.Now()
 	list, err := w.list.List(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -80,20 +106,8 @@
 
 		return
 	}
-	w.platform.Store(&list)
-	w.view.Store(NewView(w.self, w.peers(list)))
-}
-
-func (w *Watcher) peers(list []lister.VM) []VM {
-	var peers []VM
-	for _, v := range list {
-		if v.Role() == lister.RoleEntry && ID(v.ID()) != w.self.ID() {
-			peers = append(peers, NewVM(ID(v.ID()), 0, v.Address(), v.DataCentre()))
-		}
-	}
-	sort.Slice(peers, func(i, j int) bool {
-		return peers[i].ID() < peers[j].ID()
+	w.listing.Store(&Listing{
+		vms:   list,
+		asked: asked,
 	})
-
-	return peers
 }
