--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,13 @@
 	@files="$$($(GOBIN)/gofumpt -l $(GO_DIRS))"; test -z "$$files" || { echo "not formatted, run make format:"; echo "$$files"; exit 1; }
 
 lint: ## Run the linter.
-	$(GOBIN)/golangci-lint run ./...
+	$(GOBIN)/golangci-lint run --allow-parallel-runners ./...
+
+demo: ## Show the whole path in one process.
+	go run ./cmd/lagoonkeel demo
+
+demo-processes: build ## Show the whole path with separate processes.
+	bash scripts/demo-processes.sh
 
 vet: ## Run go vet.
 	go vet ./...
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -11,7 +11,6 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
-	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/follower"
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
@@ -20,11 +19,11 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
-	"github.com/lagoonkeel/lagoonkeel/internal/picker"
+	"github.com/lagoonkeel/lagoonkeel/internal/meter"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
-	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/internal/tracer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
@@ -41,7 +40,10 @@
 	member   *member.Keeper
 	server   *messenger.Server
 	pool     *messenger.Pool
+	targets  *targets
 	listener *listener.Listener
+	tracer   *tracer.Tracer
+	meter    *meter.Meter
 	// stopper runs the listener and the planned stop.
 	stopper *stopper
 	// transport holds the connections to targets.
@@ -68,15 +70,25 @@
 	v := &VM{
 		settings: s,
 		logger:   l,
+		meter:    meter.New(),
 		timers:   timer.NewService(),
 		server:   messenger.NewServer(open.peers),
 		pool:     messenger.NewPool(),
 	}
-	v.follower = follower.New(streamer.NewClient(s.LogBase()), decoder.Change, v.timers, l)
+	if v.tracer, err = tracer.New(context.Background(), s.Tracing(), s.ID()); err != nil {
+		return nil, err
+	}
+	v.follower = newFollower(s, v.timers, l)
 	if err := v.addMembership(advertised(s, open.peers)); err != nil {
 		return nil, err
 	}
+	if err := addTargets(v); err != nil {
+		return nil, err
+	}
 	v.transport = forwarder.NewTransport(v.timers, v.connections)
+	if err := addConfiguration(v); err != nil {
+		return nil, err
+	}
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
 	v.stopper = &stopper{
 		grace:  s.StopGrace(),
@@ -135,14 +147,19 @@
 // chain builds the filter chain in the order in which decisions are made.
 func (v *VM) chain() *handler.Chain {
 	return handler.NewChain(
+		filterer.NewTraceRequest(v.tracer),
+		filterer.NewCount(v.meter, v.timers),
 		filterer.NewLimit(v.settings.MaxBody(), maxFields),
+		filterer.NewReady(v.follower),
 		filterer.NewAuthenticate(v.follower),
 		filterer.NewScrub(),
 		filterer.NewRoute(),
+		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
 		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
 		filterer.NewRetry(retrier.New(), v.timers),
-		filterer.NewPick(picker.NewRandom(), v.timers),
+		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
+		filterer.NewTraceAttempt(v.tracer),
 		filterer.NewForward(v.transport),
 	)
 }
@@ -166,6 +183,11 @@
 	return v.listener.Address()
 }
 
+// Peers returns the address at which other VMs reach this one.
+func (v *VM) Peers() string {
+	return v.member.View().Self().Address()
+}
+
 // Run serves until ctx ends, then stops gracefully.
 func (v *VM) Run(ctx context.Context) error {
 	v.logger.Log(logger.Started,
@@ -185,7 +207,9 @@
 	}
 	v.logger.Log(logger.Stopped, logger.Millis("ran", v.timers.Now().Sub(start)))
 
-	return errors.Wrap(v.pool.Close(), "stopping the VM")
+	err = errors.CombineErrors(v.pool.Close(), v.tracer.Close(context.WithoutCancel(ctx)))
+
+	return errors.Wrap(err, "stopping the VM")
 }
 
 // shutdownTimeout bounds the stop of the operators' listener.
--- /dev/null
+++ b/internal/assembler/config.go
@@ -0,0 +1,38 @@
+package assembler
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
+	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/encoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/follower"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/member"
+	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
+	"github.com/lagoonkeel/lagoonkeel/internal/relayer"
+	"github.com/lagoonkeel/lagoonkeel/internal/snapshotter"
+	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+)
+
+func newFollower(s *configurer.Settings, t *timer.Service, l *logger.Logger) *follower.Follower {
+	log := streamer.NewClient(s.LogBase())
+
+	return follower.New(log, snapshotter.NewLoader(log, decoder.Chunk), decoder.Change, t, l)
+}
+
+// addConfiguration joins the follower with the peers and the snapshots.
+func addConfiguration(v *VM) error {
+	self := member.ID(v.settings.ID())
+	if err := messenger.RegisterConfiguration(v.server.Mux(), self, v.follower); err != nil {
+		return errors.Wrap(err, "building the configuration")
+	}
+	log := streamer.NewClient(v.settings.LogBase())
+	v.controllers = append(v.controllers,
+		relayer.New(v.follower, messenger.NewConfiguration(self, v.pool), v.member, v.timers),
+		snapshotter.New(log, encoder.Chunk, v.follower, v.member, v.timers, v.settings.Retention(), v.logger),
+	)
+
+	return nil
+}
--- a/internal/assembler/operators.go
+++ b/internal/assembler/operators.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rcrowley/go-metrics"
 )
 
 // headerTimeout bounds the reading of an operator's request header.
@@ -31,6 +30,7 @@
 	mux.HandleFunc("GET /ready", o.ready)
 	mux.HandleFunc("GET /live", o.live)
 	mux.HandleFunc("GET /status", o.status)
+	mux.HandleFunc("GET /targets", o.serveTargets)
 	mux.HandleFunc("GET /metrics", o.metrics)
 	o.server = &http.Server{
 		Handler:           mux,
@@ -77,8 +77,16 @@
 	ID      string `json:"id"`
 	Version int64  `json:"version"`
 	Ready   bool   `json:"ready"`
-	Members int    `json:"members"`
-	Time    string `json:"time"`
+	// Next is the offset of the next record of the configuration stream.
+	Next int64 `json:"next"`
+	// Fresh tells whether the VM may decide keyed requests.
+	Fresh   bool `json:"fresh"`
+	Members int  `json:"members"`
+	// Epoch is the number of the membership's epoch.
+	Epoch uint64 `json:"epoch"`
+	// Ranges is the number of ranges that the VM holds now.
+	Ranges int    `json:"ranges"`
+	Time   string `json:"time"`
 }
 
 func (o *operators) status(w http.ResponseWriter, _ *http.Request) {
@@ -87,12 +95,16 @@
 		ID:      o.vm.settings.ID(),
 		Version: int64(o.vm.follower.Manifest().Version()),
 		Ready:   o.vm.Ready(),
+		Next:    int64(o.vm.follower.Position().Next()),
+		Fresh:   o.vm.timers.Now().Before(o.vm.follower.FreshUntil()),
 		Members: o.vm.members(),
+		Epoch:   o.vm.member.View().Epoch(),
+		Ranges:  o.vm.member.ActiveCount(),
 		Time:    time.Now().UTC().Format(time.RFC3339Nano),
 	})
 }
 
 func (o *operators) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	metrics.WriteJSONOnce(metrics.DefaultRegistry, w)
+	o.vm.meter.WriteJSON(w)
 }
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -3,11 +3,15 @@
 package configurer
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 )
 
+// DefaultRetention is how long the log is taken to keep a record.
+const DefaultRetention = 24 * time.Hour
+
 // Settings are the checked settings of a process.
 type Settings struct {
 	id         string
@@ -22,6 +26,8 @@
 	// logBase and listBase are the base addresses of the platform's services.
 	logBase  string
 	listBase string
+	// retention is how long the log keeps a record; above 0.
+	retention time.Duration
 	// maxBody bounds a request's body in bytes.
 	maxBody int
 	// stopGrace is how long a stopping VM serves on while it is not ready.
@@ -78,10 +84,12 @@
 	Advertised string
 	LogBase    string
 	ListBase   string
-	MaxBody    int
-	StopGrace  time.Duration
-	LogFormat  logger.Format
-	Tracing    Tracing
+	// Retention is DefaultRetention where it is 0.
+	Retention time.Duration
+	MaxBody   int
+	StopGrace time.Duration
+	LogFormat logger.Format
+	Tracing   Tracing
 }
 
 // New returns settings.
@@ -96,6 +104,7 @@
 		advertised: s.Advertised,
 		logBase:    s.LogBase,
 		listBase:   s.ListBase,
+		retention:  cmp.Or(s.Retention, DefaultRetention),
 		maxBody:    s.MaxBody,
 		stopGrace:  s.StopGrace,
 		logFormat:  s.LogFormat,
@@ -131,6 +140,9 @@
 // ListBase returns the base address of the VM list.
 func (s *Settings) ListBase() string { return s.listBase }
 
+// Retention returns how long the log keeps a record at least.
+func (s *Settings) Retention() time.Duration { return s.retention }
+
 // MaxBody returns the bound of a request's body in bytes.
 func (s *Settings) MaxBody() int { return s.maxBody }
 
--- a/internal/member/export_test.go
+++ b/internal/member/export_test.go
@@ -21,6 +21,9 @@
 
 // AcknowledgeAny returns the reply as one that acknowledges in the epoch.
 func (r *Reply) AcknowledgeAny(epoch uint64) *Reply {
+	if r.refused {
+		return r
+	}
 	c := *r
 	c.acknowledged = true
 	c.epoch = epoch
