--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
+	"github.com/lagoonkeel/lagoonkeel/internal/borrower"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/follower"
@@ -48,6 +48,8 @@
 	stopper *stopper
 	// transport holds the connections to targets.
 	transport *forwarder.Transport
+	// borrower admits callers' requests by the fleet-wide rates.
+	borrower *borrower.Borrower
 	// operators serves readiness, status and metrics.
 	operators *operators
 	// controllers run from the start to the end of the process.
@@ -89,6 +91,9 @@
 	if err := addConfiguration(v); err != nil {
 		return nil, err
 	}
+	if err := addRates(v); err != nil {
+		return nil, err
+	}
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
 	v.stopper = &stopper{
 		grace:  s.StopGrace(),
@@ -156,7 +161,7 @@
 		filterer.NewRoute(),
 		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
-		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
+		filterer.NewAdmit(v.borrower),
 		filterer.NewRetry(retrier.New(), v.timers),
 		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
