Find callers' keys in any place and encoding before an upstream sees them

Cause: the scrub filter knew only the caller's own key, in plain text: keys of other teams, withdrawn keys, and percent, base64 or JSON escapes passed, as did credentials for proxies and trace state.

--- a/internal/filterer/trace.go
+++ b/internal/filterer/trace.go
@@ -4,8 +4,12 @@
 	"context"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
+// traceStateField carries what other tracers add to a trace context.
+const traceStateField = "Tracestate"
+
 type tracer interface {
 	// Receive returns a context with the trace context of a request.
 	Receive(ctx context.Context, f *handler.Fields) context.Context
@@ -32,6 +36,7 @@
 
 // Handle spans the whole request.
 func (t *TraceRequest) Handle(ctx context.Context, x *handler.Exchange, next handler.Handler) error {
+	dropForeignState(x.Request().Fields())
 	ctx, end := t.tracer.Start(t.tracer.Receive(ctx, x.Request().Fields()), "request")
 	err := next.Serve(ctx, x)
 	end(x.Labels(), err)
@@ -39,6 +44,14 @@
 	return err
 }
 
+// dropForeignState removes trace state that holds a key, before a span takes
+// it over.
+func dropForeignState(f *handler.Fields) {
+	if state := f.Get(traceStateField); state != "" && newKeyFinder(manifester.Empty(), f).inHead([]byte(state)) {
+		f.Remove(traceStateField)
+	}
+}
+
 // TraceAttempt makes the span of one upstream try and passes its context on.
 type TraceAttempt struct {
 	tracer tracer
--- a/internal/keyer/keyer.go
+++ b/internal/keyer/keyer.go
@@ -3,6 +3,7 @@
 package keyer
 
 import (
+	"bytes"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
@@ -15,6 +16,8 @@
 	keyBytes = 32
 	// prefix marks a key, so that scanners find one that leaked.
 	prefix = "lk_"
+	// Length is the number of characters of a key.
+	Length = len(prefix) + 2*keyBytes
 )
 
 // New returns a new random key.
@@ -33,3 +36,33 @@
 
 	return hex.EncodeToString(sum[:])
 }
+
+// Begins reports whether text begins like a key.
+func Begins(text []byte) bool {
+	return bytes.HasPrefix(text, []byte(prefix))
+}
+
+// Contains reports whether lower-case text holds something of the shape of a
+// key that New makes.
+func Contains(text []byte) bool {
+	for {
+		i := bytes.Index(text, []byte(prefix))
+		if i < 0 {
+			return false
+		}
+		text = text[i+len(prefix):]
+		if len(text) >= 2*keyBytes && allHex(text[:2*keyBytes]) {
+			return true
+		}
+	}
+}
+
+func allHex(text []byte) bool {
+	for _, c := range text {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+
+	return true
+}
