--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
+	"github.com/lagoonkeel/lagoonkeel/internal/borrower"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/follower"
@@ -21,7 +21,6 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
 	"github.com/lagoonkeel/lagoonkeel/internal/meter"
-	"github.com/lagoonkeel/lagoonkeel/internal/picker"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -41,6 +40,7 @@
 	watcher  *member.Watcher
 	server   *messenger.Server
 	pool     *messenger.Pool
+	targets  *targets
 	listener *listener.Listener
 	tracer   *tracer.Tracer
 	meter    *meter.Meter
@@ -48,6 +48,8 @@
 	stopper *stopper
 	// transport holds the connections to targets.
 	transport *forwarder.Transport
+	// borrower admits callers' requests by the fleet-wide rates.
+	borrower *borrower.Borrower
 	// operators serves readiness, status and metrics.
 	operators *operators
 	// controllers run from the start to the end of the process.
@@ -81,10 +83,16 @@
 	v.follower = newFollower(s, v.timers, l)
 	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
+	if err := addTargets(v); err != nil {
+		return nil, err
+	}
 	v.transport = forwarder.NewTransport(v.timers, v.connections)
 	if err := addConfiguration(v); err != nil {
 		return nil, err
 	}
+	if err := addRates(v); err != nil {
+		return nil, err
+	}
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
 	v.stopper = &stopper{
 		grace:  s.StopGrace(),
@@ -148,9 +156,9 @@
 		filterer.NewRoute(),
 		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
-		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
+		filterer.NewAdmit(v.borrower),
 		filterer.NewRetry(retrier.New(), v.timers),
-		filterer.NewPick(picker.NewRandom(), v.timers),
+		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
 		filterer.NewForward(v.transport),
 	)
@@ -175,6 +183,11 @@
 	return v.listener.Address()
 }
 
+// Peers returns the address at which other VMs reach this one.
+func (v *VM) Peers() string {
+	return v.watcher.View().Self().Address()
+}
+
 // Run serves until ctx ends, then stops gracefully.
 func (v *VM) Run(ctx context.Context) error {
 	v.logger.Log(logger.Started,
--- /dev/null
+++ b/internal/assembler/targets.go
@@ -0,0 +1,34 @@
+package assembler
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/drainer"
+	"github.com/lagoonkeel/lagoonkeel/internal/ejector"
+	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
+	"github.com/lagoonkeel/lagoonkeel/internal/picker"
+)
+
+// targets are the parts that decide which targets get work.
+type targets struct {
+	drainer   *drainer.Drainer
+	ejector   *ejector.Controller
+	exchanger *ejector.Exchanger
+	balancer  *picker.Balancer
+}
+
+// addTargets builds the parts on top of the follower, the watcher and the links
+// to peers.
+func addTargets(v *VM) error {
+	recorder := ejector.NewRecorder()
+	t := &targets{
+		drainer: drainer.New(v.watcher, v.timers, v.logger),
+	}
+	t.ejector = ejector.New(v.settings.ID(), v.follower, t.drainer, recorder, v.timers, v.logger)
+	t.exchanger = ejector.NewExchanger(t.ejector, t.drainer, messenger.NewEvidenceClient(v.pool), v.watcher, v.timers)
+	t.balancer = picker.New(v.follower, t.ejector, v.watcher, recorder, v.timers, nil)
+	v.targets = t
+	v.controllers = append(v.controllers, t.drainer, t.ejector, t.exchanger, t.balancer)
+
+	return errors.Wrap(messenger.RegisterEvidence(v.server, t.exchanger), "building the VM")
+}
