--- a/internal/assembler/config.go
+++ b/internal/assembler/config.go
@@ -30,8 +30,8 @@
 	}
 	log := streamer.NewClient(v.settings.LogBase())
 	v.controllers = append(v.controllers,
-		relayer.New(v.follower, messenger.NewConfiguration(self, v.pool), v.watcher, v.timers),
-		snapshotter.New(log, encoder.Chunk, v.follower, v.watcher, v.timers, v.settings.Retention(), v.logger),
+		relayer.New(v.follower, messenger.NewConfiguration(self, v.pool), v.member, v.timers),
+		snapshotter.New(log, encoder.Chunk, v.follower, v.member, v.timers, v.settings.Retention(), v.logger),
 	)
 
 	return nil
