Wait for holdings before a VM is ready, and show the harm of lower epochs

Change: readiness waits for ranges of the VM's own, six seconds at most. The schedules now cut VMs off from the log as well, and a directed run isolates a VM until it is removed: it holds nothing afterwards, and would hold ranges twice if others acknowledged its lower epoch.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,10 +53,17 @@
 	borrower *borrower.Borrower
 	// operators serves readiness, status and metrics.
 	operators *operators
+	// built is when the process was assembled.
+	built timer.Instant
+	// hasSettled is set once the VM has settled in the fleet.
+	hasSettled atomic.Bool
 	// controllers run from the start to the end of the process.
 	controllers []supervisor.Controller
 }
 
+// settleTimeout bounds the wait of a new VM for ranges of its own.
+const settleTimeout = 6 * time.Second
+
 // sockets are the open listeners of a VM.
 type sockets struct {
 	callers   net.Listener
@@ -77,6 +85,7 @@
 		server:   messenger.NewServer(open.peers),
 		pool:     messenger.NewPool(),
 	}
+	v.built = v.timers.Now()
 	if v.tracer, err = tracer.New(context.Background(), s.Tracing(), s.ID()); err != nil {
 		return nil, err
 	}
@@ -175,7 +184,21 @@
 
 // Ready reports whether the VM may get callers' requests.
 func (v *VM) Ready() bool {
-	return v.follower.Ready() && !v.stopper.Stopping()
+	return v.follower.Ready() && v.settled() && !v.stopper.Stopping()
+}
+
+// settled reports whether the VM has once held ranges, or has waited long
+// enough for it: a VM that cannot join serves by the ranges of others.
+func (v *VM) settled() bool {
+	if v.hasSettled.Load() {
+		return true
+	}
+	if v.member.ActiveCount() == 0 && v.timers.Now().Sub(v.built) < settleTimeout {
+		return false
+	}
+	v.hasSettled.Store(true)
+
+	return true
 }
 
 // Version returns the version of the manifest in force on this VM.
--- a/internal/assembler/path_test.go
+++ b/internal/assembler/path_test.go
@@ -97,7 +97,7 @@
 	listBase := "http://" + startStandin(t, standin.NewVMs().Handler())
 	vm := startVM(t, logBase, listBase)
 	publishManifest(t, logBase, target)
-	waitFor(t, "the manifest is in force", func() bool { return vm.Version() == 0 })
+	waitFor(t, "the manifest is in force", func() bool { return vm.Version() == 0 && vm.Ready() })
 
 	var out bytes.Buffer
 	for _, c := range []struct{ method, path, key string }{
--- a/internal/member/schedule_test.go
+++ b/internal/member/schedule_test.go
@@ -65,6 +65,14 @@
 	func(w *world, target uint16) { w.remove(w.pick(target)) },
 	func(w *world, target uint16) { w.nodes[w.pick(target)].p.Resign() },
 	func(w *world, target uint16) { w.logDown = target%2 == 0 },
+	func(w *world, target uint16) { w.nodes[w.pick(target)].deaf = true },
+	func(w *world, target uint16) {
+		id := w.pick(target)
+		w.nodes[id].deaf = true
+		for _, o := range w.all {
+			w.cut[[2]member.ID{o, id}] = target%3 == 0
+		}
+	},
 	func(w *world, target uint16) {
 		w.loss = float64(target%5) / 10
 		w.latency = time.Duration(target%7) * 50 * time.Millisecond
@@ -80,6 +88,9 @@
 }
 
 func (w *world) heal() {
+	for _, n := range w.nodes {
+		n.deaf = false
+	}
 	w.cut = map[[2]member.ID]bool{}
 	w.loss = 0
 	w.latency = step
@@ -143,7 +154,6 @@
 	for _, broken := range []string{
 		member.BreakWait,
 		member.BreakBans,
-		member.BreakAcks,
 		member.BreakSent,
 	} {
 		t.Run(broken, func(t *testing.T) {
@@ -156,3 +166,42 @@
 		})
 	}
 }
+
+// isolate cuts a VM off from the log and the others until the others have
+// removed it, and then heals the links alone. It returns the first moment with
+// two holders, or "".
+func isolate(broken string) (epoch uint64, found string) {
+	w := newWorld(scheduleSeed, 4)
+	w.broken = broken
+	look := func() {
+		if found == "" {
+			found = w.doubled()
+		}
+	}
+	w.run(4*time.Second, look)
+	id := w.busiest()
+	w.nodes[id].deaf = true
+	w.unlisted[id] = w.now
+	for _, o := range w.all {
+		w.cut[[2]member.ID{o, id}] = true
+		w.cut[[2]member.ID{id, o}] = true
+	}
+	w.run(20*time.Second, look)
+	w.cut = map[[2]member.ID]bool{}
+	w.run(10*time.Second, look)
+
+	return w.epoch(), found
+}
+
+// TestLowerEpochsAreNotAcknowledged shows that a removed VM that knows nothing
+// of its removal holds nothing, and that it would if others acknowledged its
+// lower epoch.
+func TestLowerEpochsAreNotAcknowledged(t *testing.T) {
+	t.Parallel()
+	if epoch, found := isolate(""); found != "" || epoch <= 4 {
+		t.Errorf("epoch %d: %q; want the VM removed and no range with two holders", epoch, found)
+	}
+	if _, found := isolate(member.BreakAcks); found == "" {
+		t.Error("acknowledging a lower epoch did no harm")
+	}
+}
--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -31,6 +31,8 @@
 	nextRound time.Duration
 	nextList  time.Duration
 	frozen    bool
+	// deaf VMs do not reach the log.
+	deaf bool
 	// inbox has what arrived and was not handled yet.
 	inbox []message
 }
@@ -235,7 +237,7 @@
 }
 
 func (w *world) read(n *node) {
-	if w.logDown {
+	if w.logDown || n.deaf {
 		return
 	}
 	for o := n.p.Next(); o < recorder.Offset(len(w.records)); o = n.p.Next() {
@@ -290,7 +292,7 @@
 		return
 	}
 	n.p.ProposalSent(now)
-	if !w.logDown {
+	if !w.logDown && !n.deaf {
 		w.records = append(w.records, r)
 	}
 }
