--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -322,6 +323,8 @@
 	status  int
 	outcome string
 	target  string
+	// body holds the refusal where outcome is set.
+	body string
 }
 
 func (f *fleet) call(ctx context.Context, v *vm, method, path, key string) (answer, error) {
@@ -335,7 +338,13 @@
 		return answer{}, errors.Wrap(err, "calling a VM")
 	}
 
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return answer{}, errors.Wrap(err, "reading an answer")
+	}
+
 	return answer{
+		body:    string(body),
 		status:  resp.StatusCode,
 		outcome: resp.Header.Get("Lagoonkeel-Outcome"),
 		target:  resp.Header.Get("Test-Target"),
--- a/internal/demonstrator/steps.go
+++ b/internal/demonstrator/steps.go
@@ -113,7 +113,7 @@
 			for i := range stopLoad / loadWorkers {
 				a, err := f.call(callers, f.readyVM(w+i), http.MethodPost, "/bookings/seat-2", guidesNextKey)
 				if err != nil || a.status != http.StatusOK {
-					failures.Store(fmt.Sprintf("status %d %s", a.status, a.outcome), err)
+					failures.Store(fmt.Sprintf("status %d %s", a.status, a.body), err)
 
 					continue
 				}
