--- a/internal/prover/relay_test.go
+++ b/internal/prover/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -29,6 +30,8 @@
 	delay  [directions]time.Duration
 	cutOff bool
 	open   map[net.Conn]bool
+	// passed counts the bytes of each direction.
+	passed [directions]atomic.Int64
 }
 
 // startRelay starts a relay before the server's address.
@@ -54,6 +57,11 @@
 
 func (r *relay) address() string { return r.ln.Addr().String() }
 
+// bytes returns what passed in both directions since the start.
+func (r *relay) bytes() int64 {
+	return r.passed[toServer].Load() + r.passed[toClient].Load()
+}
+
 // silence makes one direction swallow what it carries, or carry it again.
 func (r *relay) silence(d direction, on bool) {
 	r.mu.Lock()
@@ -151,6 +159,7 @@
 			time.Sleep(delay)
 		}
 		if n > 0 && !silent {
+			r.passed[d].Add(int64(n))
 			if _, err := to.Write(buf[:n]); err != nil {
 				from.Close()
 
