Apply a change by copying and checking only what it touches

Cause: each change copied every map and validated every object: 5.03 s and 388 MB for one team's key among 930,000 teams, 2.88 ms among 1,000. Change: objects and look-ups stand in tables of 1,024 shards that versions share; a change copies the shards it touches and checks its own objects and what refers to them both ways. If a check fails, the whole next version is validated, so that faults and their order stay as they were. Ruled out: a persistent tree (slower look-ups); more shards (each version copies the list of shards, 8 KB for each table). The two look-ups of a request together: 92 -> 144 ns, at 930,000 teams 118 -> 165 ns. Kept in memory: 260 MB at 930,000 teams, before and after. Result: 150 random histories of 60 changes are decided as by full validation, -race.

--- a/pkg/manifester/change.go
+++ b/pkg/manifester/change.go
@@ -1,9 +1,6 @@
 package manifester
 
-import (
-	"fmt"
-	"maps"
-)
+import "fmt"
 
 // ChangeID identifies a published change; it is unique for each attempt to
 // publish.
@@ -103,27 +100,31 @@
 			inForce: m.version,
 		}
 	}
-	next := build(v,
-		merge(m.services, c.services, c.removeServices),
-		merge(m.teams, c.teams, c.removeTeams),
-		merge(m.routes, c.routes, c.removeRoutes),
-	)
-	if faults := next.validate(); len(faults) > 0 {
-		return nil, faults
+	e := m.editor()
+	e.apply(c)
+	next := e.manifest(v)
+	if e.valid {
+		return next, nil
 	}
 
-	return next, nil
+	return nil, next.validate()
 }
 
 // Restore returns the manifest of a snapshot. It returns Faults if the
 // snapshot is invalid.
 func Restore(v Version, services []*Service, teams []*Team, routes []*Route) (*Manifest, error) {
-	m := build(v, merge(nil, services, nil), merge(nil, teams, nil), merge(nil, routes, nil))
-	if faults := m.validate(); len(faults) > 0 {
-		return nil, faults
+	e := Empty().editor()
+	e.apply(&Change{
+		services: services,
+		teams:    teams,
+		routes:   routes,
+	})
+	m := e.manifest(v)
+	if e.valid {
+		return m, nil
 	}
 
-	return m, nil
+	return nil, m.validate()
 }
 
 // Diff returns the change that leads from m to the manifest of the given
@@ -140,30 +141,15 @@
 	return c
 }
 
-func merge[T interface{ Name() string }](old map[string]T, put []T, remove []string) map[string]T {
-	next := maps.Clone(old)
-	if next == nil {
-		next = map[string]T{}
-	}
-	for _, name := range remove {
-		delete(next, name)
-	}
-	for _, v := range put {
-		next[v.Name()] = v
-	}
-
-	return next
-}
-
-func diff[T interface{ Name() string }](from, to map[string]T, same func(a, b T) bool) (put []T, remove []string) {
+func diff[T interface{ Name() string }](from, to *table[T], same func(a, b T) bool) (put []T, remove []string) {
 	for _, v := range sorted(to) {
-		old, ok := from[v.Name()]
+		old, ok := from.get(v.Name())
 		if !ok || !same(old, v) {
 			put = append(put, v)
 		}
 	}
 	for _, v := range sorted(from) {
-		if _, ok := to[v.Name()]; !ok {
+		if _, ok := to.get(v.Name()); !ok {
 			remove = append(remove, v.Name())
 		}
 	}
--- a/pkg/manifester/manifest.go
+++ b/pkg/manifester/manifest.go
@@ -1,7 +1,7 @@
 package manifester
 
 import (
-	"sort"
+	"slices"
 	"strings"
 )
 
@@ -19,40 +19,29 @@
 // requests are decided by.
 type Manifest struct {
 	version  Version
-	services map[string]*Service
-	teams    map[string]*Team
-	routes   map[string]*Route
+	services *table[*Service]
+	teams    *table[*Team]
+	routes   *table[*Route]
 	// teamsByKey maps a key digest to its team; no digest has two teams.
-	teamsByKey map[string]*Team
+	teamsByKey *table[*Team]
 	// byPrefix holds the routes of each prefix; a request is matched by
 	// looking its path up segment by segment, the longest prefix first.
-	byPrefix map[string][]*Route
+	byPrefix *table[[]*Route]
+	// users counts the routes of each service; a service without is not in it.
+	users *table[int]
 }
 
 // Empty returns the manifest in force before the first record.
 func Empty() *Manifest {
-	return build(NoVersion, nil, nil, nil)
-}
-
-func build(v Version, services map[string]*Service, teams map[string]*Team, routes map[string]*Route) *Manifest {
-	m := &Manifest{
-		version:    v,
-		services:   services,
-		teams:      teams,
-		routes:     routes,
-		teamsByKey: map[string]*Team{},
-		byPrefix:   map[string][]*Route{},
-	}
-	for _, t := range teams {
-		for _, d := range t.keyDigests {
-			m.teamsByKey[d] = t
-		}
+	return &Manifest{
+		version:    NoVersion,
+		services:   &table[*Service]{},
+		teams:      &table[*Team]{},
+		routes:     &table[*Route]{},
+		teamsByKey: &table[*Team]{},
+		byPrefix:   &table[[]*Route]{},
+		users:      &table[int]{},
 	}
-	for _, r := range routes {
-		m.byPrefix[r.prefix] = append(m.byPrefix[r.prefix], r)
-	}
-
-	return m
 }
 
 // Version returns the version.
@@ -60,30 +49,22 @@
 
 // Service returns the service of the name.
 func (m *Manifest) Service(name string) (*Service, bool) {
-	s, ok := m.services[name]
-
-	return s, ok
+	return m.services.get(name)
 }
 
 // Team returns the team of the name.
 func (m *Manifest) Team(name string) (*Team, bool) {
-	t, ok := m.teams[name]
-
-	return t, ok
+	return m.teams.get(name)
 }
 
 // Route returns the route of the name.
 func (m *Manifest) Route(name string) (*Route, bool) {
-	r, ok := m.routes[name]
-
-	return r, ok
+	return m.routes.get(name)
 }
 
 // TeamOfKey returns the team that holds the key digest.
 func (m *Manifest) TeamOfKey(digest string) (*Team, bool) {
-	t, ok := m.teamsByKey[digest]
-
-	return t, ok
+	return m.teamsByKey.get(digest)
 }
 
 // Services returns all services ordered by name.
@@ -119,7 +100,7 @@
 func (m *Manifest) FindRoute(method, path string) (*Route, Match) {
 	match := MatchNone
 	for prefix := path; prefix != ""; prefix = parentPrefix(prefix) {
-		routes := m.byPrefix[prefix]
+		routes, _ := m.byPrefix.get(prefix)
 		if len(routes) == 0 {
 			continue
 		}
@@ -159,13 +140,13 @@
 	return fallback
 }
 
-func sorted[T interface{ Name() string }](m map[string]T) []T {
-	list := make([]T, 0, len(m))
-	for _, v := range m {
+func sorted[T interface{ Name() string }](t *table[T]) []T {
+	list := make([]T, 0, t.size)
+	t.each(func(_ string, v T) {
 		list = append(list, v)
-	}
-	sort.Slice(list, func(i, j int) bool {
-		return list[i].Name() < list[j].Name()
+	})
+	slices.SortFunc(list, func(a, b T) int {
+		return strings.Compare(a.Name(), b.Name())
 	})
 
 	return list
--- a/pkg/manifester/validate.go
+++ b/pkg/manifester/validate.go
@@ -76,6 +76,7 @@
 	}
 }
 
+// validate checks the whole manifest and returns every fault.
 func (m *Manifest) validate() Faults {
 	v := &validator{}
 	for _, s := range m.Services() {
@@ -87,7 +88,8 @@
 	}
 	taken := map[string]string{}
 	for _, r := range m.Routes() {
-		v.route(m, r, taken)
+		_, declared := m.services.get(r.service)
+		v.route(r, declared, taken)
 	}
 
 	return v.faults
@@ -172,7 +174,7 @@
 	}
 }
 
-func (v *validator) route(m *Manifest, r *Route, taken map[string]string) {
+func (v *validator) route(r *Route, declared bool, taken map[string]string) {
 	path := "routes." + r.name
 	v.name(path, r.name)
 	if !methodPattern.MatchString(r.method) {
@@ -181,7 +183,7 @@
 	if !validPrefix(r.prefix) {
 		v.add(path+".prefix", fmt.Sprintf("prefix %q is not valid", r.prefix), "a path that starts with / and does not end with it, or / alone")
 	}
-	if _, ok := m.services[r.service]; !ok {
+	if !declared {
 		v.add(path+".service", fmt.Sprintf("service %q is not declared", r.service), "the name of a declared service")
 	}
 	if r.timeout <= 0 {
