--- a/internal/decoder/manifest.go
+++ b/internal/decoder/manifest.go
@@ -30,6 +30,7 @@
 	teams := readAll(r, "teams", readTeam)
 	routes := readAll(r, "routes", readRoute)
 	r.close()
+	keysOfNamesakes(c, teams)
 	m, err := manifester.Restore(version, services, teams, routes)
 	if faults, ok := err.(manifester.Faults); ok { //nolint:errorlint // Restore returns this type unwrapped.
 		c.faults = append(c.faults, faults...)
@@ -41,6 +42,28 @@
 	return m, nil
 }
 
+// keysOfNamesakes reports keys that a team shares with one that a namesake
+// hides from the validation, which knows one team of each name.
+func keysOfNamesakes(c *collector, teams []*manifester.Team) {
+	last := map[string]int{}
+	for i, t := range teams {
+		last[t.Name()] = i
+	}
+	owners := map[string]int{}
+	for i, t := range teams {
+		for j, d := range t.KeyDigests() {
+			owner, taken := owners[d]
+			owners[d] = i
+			hidden := taken && (last[teams[owner].Name()] != owner || last[t.Name()] != i)
+			if hidden && owner != i {
+				c.add(fmt.Sprintf("%s.teams[%d].keys[%d]", rootPath, i, j),
+					fmt.Sprintf("the key digest is also a key of the team %q at %s.teams[%d]", teams[owner].Name(), rootPath, owner),
+					"a key of its own for each team")
+			}
+		}
+	}
+}
+
 // Change reads the record of a published change. The error is
 // manifester.Faults.
 func Change(data []byte) (*manifester.Change, error) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -65,6 +65,8 @@
 	freshUntil atomic.Int64
 	// ready is set once the state was confirmed.
 	ready atomic.Bool
+	// first is the offset of the oldest record that the log was seen to keep.
+	first atomic.Int64
 	// stale is what was last logged about freshness.
 	stale bool
 }
@@ -107,6 +109,11 @@
 	return c.manifest, c.next
 }
 
+// First returns the offset of the oldest record that the log was seen to keep.
+func (f *Follower) First() recorder.Offset {
+	return recorder.Offset(f.first.Load())
+}
+
 // Records returns the applied records from the offset on, or false where that
 // offset is no longer kept.
 func (f *Follower) Records(from recorder.Offset) ([]recorder.Record, bool) {
--- a/internal/follower/reading.go
+++ b/internal/follower/reading.go
@@ -99,6 +99,7 @@
 	if r.err != nil {
 		return
 	}
+	f.first.Store(max(f.first.Load(), int64(r.batch.First())))
 	before := f.state.Next()
 	if r.snapshot != nil {
 		r.snapshot.deliver(ctx, f)
--- a/internal/handler/labels.go
+++ b/internal/handler/labels.go
@@ -21,11 +21,11 @@
 	if x == nil {
 		return
 	}
-	f("http.request.method", x.request.method)
 	if x.team != nil {
 		f("lagoonkeel.team", x.team.Name())
 	}
-	if x.route != nil {
+	if x.route != nil { // The scrub filter has passed the method: it holds no key.
+		f("http.request.method", x.request.method)
 		f("lagoonkeel.route", x.route.Name())
 		f("lagoonkeel.service", x.route.Service())
 	}
--- a/internal/prover/fleet_test.go
+++ b/internal/prover/fleet_test.go
@@ -22,6 +22,8 @@
 	vms int
 	// upstreams maps each service to its number of targets.
 	upstreams map[string]int
+	// traced makes each VM write every span to its file of spans.
+	traced bool
 }
 
 // fleet is a running fleet with its platform and upstreams, each a process.
@@ -34,6 +36,7 @@
 	targets map[string][]*upstreamProcess
 	// leaving holds the upstream addresses that the list shows as leaving.
 	leaving map[string]bool
+	traced  bool
 	// unlisted holds the VMs that the list does not name.
 	unlisted map[string]bool
 }
@@ -46,6 +49,8 @@
 	callers   string
 	peers     string
 	operators string
+	// spans is the file of spans; "" where the fleet is not traced.
+	spans string
 	// toPeers stands before the peer listener: every other VM comes through it.
 	toPeers *relay
 	// toLog stands between this VM and the log.
@@ -69,6 +74,7 @@
 		targets:  map[string][]*upstreamProcess{},
 		leaving:  map[string]bool{},
 		unlisted: map[string]bool{},
+		traced:   s.traced,
 	}
 	f.log = startProcess(t, "log", "lagoonkeel-standin", "log", "--listen", f.logAddr)
 	startProcess(t, "vms", "lagoonkeel-standin", "vms", "--listen", f.vmsAddr)
@@ -133,7 +139,17 @@
 
 func (f *fleet) settings(v *vm) string {
 	f.t.Helper()
+	traces := map[string]any{}
+	if f.traced {
+		v.spans = filepath.Join(f.t.TempDir(), v.id+"-spans.jsonl")
+		traces = map[string]any{
+			"exporter": "jsonl",
+			"endpoint": v.spans,
+			"sample":   1,
+		}
+	}
 	text, err := json.Marshal(map[string]any{
+		"traces":      traces,
 		"id":          v.id,
 		"dataCentre":  "kandy",
 		"region":      "central-hills",
@@ -263,6 +279,7 @@
 // vmStatus is the part of a VM's status that proofs read.
 type vmStatus struct {
 	Version int64 `json:"version"`
+	Next    int64 `json:"next"`
 	Ready   bool  `json:"ready"`
 	Members int   `json:"members"`
 }
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/encoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/follower"
 	"github.com/lagoonkeel/lagoonkeel/internal/recorder"
+	"github.com/lagoonkeel/lagoonkeel/internal/snapshotter"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
@@ -217,7 +218,7 @@
 		return err
 	}
 	if next < expired.First() || !state.Restore(m, next) {
-		return expired
+		return &snapshotter.MissingError{}
 	}
 
 	return nil
--- a/internal/snapshotter/collector.go
+++ b/internal/snapshotter/collector.go
@@ -123,5 +123,6 @@
 
 // Error implements error.
 func (*MissingError) Error() string {
-	return "no complete snapshot was found: a VM without state waits for a peer that has it"
+	return "no complete snapshot reaches to the oldest record kept: a VM without state waits for a peer that has it, " +
+		"and the VM on duty writes one within seconds"
 }
--- a/internal/snapshotter/policy.go
+++ b/internal/snapshotter/policy.go
@@ -41,8 +41,10 @@
 	}
 }
 
-// Due reports whether this VM has to write a snapshot of the state at next.
-func (p *Policy) Due(now timer.Instant, onDuty bool, next recorder.Offset) bool {
+// Due reports whether this VM has to write a snapshot of the state at next. The
+// oldest record that the log keeps is first: one after the last snapshot means
+// that records have expired sooner than they should.
+func (p *Policy) Due(now timer.Instant, onDuty bool, first, next recorder.Offset) bool {
 	if onDuty != p.onDuty {
 		p.onDuty = onDuty
 		p.since = now
@@ -52,7 +54,7 @@
 		return false
 	}
 
-	return !p.written || now.Sub(p.writtenAt) >= p.refresh || next-p.upTo >= everyRecords
+	return !p.written || now.Sub(p.writtenAt) >= p.refresh || next-p.upTo >= everyRecords || first > p.upTo
 }
 
 // Wrote notes that a snapshot up to next was written.
--- a/internal/snapshotter/snapshotter.go
+++ b/internal/snapshotter/snapshotter.go
@@ -30,6 +30,8 @@
 
 type stateSource interface {
 	State() (*manifester.Manifest, recorder.Offset)
+	// First returns the offset of the oldest record that the log keeps.
+	First() recorder.Offset
 	Ready() bool
 }
 
@@ -97,7 +99,7 @@
 	m, next := s.state.State()
 	now := s.timers.Now()
 	onDuty := OnDuty(s.viewer.View()) && s.state.Ready()
-	if !s.policy.Due(now, onDuty, next) || now.Before(s.retryAt) {
+	if !s.policy.Due(now, onDuty, s.state.First(), next) || now.Before(s.retryAt) {
 		return
 	}
 	count, err := s.write(ctx, m, next)
--- a/internal/snapshotter/snapshotter_test.go
+++ b/internal/snapshotter/snapshotter_test.go
@@ -155,21 +155,24 @@
 		onDuty bool
 		next   recorder.Offset
 		wrote  bool
+		first  recorder.Offset
 	}{
-		{0, true, 0, false},
-		{6 * time.Second, true, 0, false},
-		{7 * time.Second, true, 1, true},
-		{8 * time.Second, true, 2, false},
-		{10 * time.Minute, true, 256, false},
-		{11 * time.Minute, true, 257, true},
-		{25 * time.Minute, true, 257, false},
-		{26 * time.Minute, true, 257, true},
-		{27 * time.Minute, false, 900, false},
-		{28 * time.Minute, true, 900, false},
-		{28*time.Minute + 5*time.Second, true, 900, true},
+		{0, true, 0, false, 0},
+		{6 * time.Second, true, 0, false, 0},
+		{7 * time.Second, true, 1, true, 0},
+		{8 * time.Second, true, 2, false, 0},
+		{10 * time.Minute, true, 256, false, 0},
+		{11 * time.Minute, true, 257, true, 0},
+		{25 * time.Minute, true, 257, false, 0},
+		{26 * time.Minute, true, 257, true, 0},
+		{27 * time.Minute, false, 900, false, 0},
+		{28 * time.Minute, true, 900, false, 0},
+		{28*time.Minute + 5*time.Second, true, 900, true, 0},
+		{29 * time.Minute, true, 910, false, 900},
+		{30 * time.Minute, true, 910, false, 905},
 	} {
-		due := p.Due(timer.Instant(c.at), c.onDuty, c.next)
-		fmt.Fprintf(&out, "%8v on duty=%-5v next=%-3d due=%v\n", c.at, c.onDuty, c.next, due)
+		due := p.Due(timer.Instant(c.at), c.onDuty, c.first, c.next)
+		fmt.Fprintf(&out, "%8v on duty=%-5v first=%-3d next=%-3d due=%v\n", c.at, c.onDuty, c.first, c.next, due)
 		if c.wrote {
 			p.Wrote(timer.Instant(c.at), c.next)
 		}
@@ -186,6 +189,9 @@
 // State implements the state.
 func (s *source) State() (*manifester.Manifest, recorder.Offset) { return s.manifest, 9 }
 
+// First implements the state.
+func (s *source) First() recorder.Offset { return 0 }
+
 // Ready implements the state.
 func (s *source) Ready() bool { return true }
 
