--- /dev/null
+++ b/internal/messenger/config_test.go
@@ -0,0 +1,173 @@
+package messenger_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/follower"
+	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
+	"github.com/lagoonkeel/lagoonkeel/internal/recorder"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// counter counts the bytes of the connections that it accepts.
+type counter struct {
+	net.Listener
+	in, out atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (c *counter) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+
+	return countedConn{
+		Conn:    conn,
+		counter: c,
+	}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	counter *counter
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counter.in.Add(int64(n))
+
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counter.out.Add(int64(n))
+
+	return n, err
+}
+
+// fakeState is the configuration of a peer.
+type fakeState struct {
+	position follower.Position
+	records  []recorder.Record
+	manifest *manifester.Manifest
+}
+
+// Position implements the state.
+func (s *fakeState) Position() follower.Position { return s.position }
+
+// Records implements the state.
+func (s *fakeState) Records(from recorder.Offset) ([]recorder.Record, bool) {
+	if len(s.records) == 0 || from < s.records[0].Offset() {
+		return nil, false
+	}
+
+	return s.records[from-s.records[0].Offset():], true
+}
+
+// State implements the state.
+func (s *fakeState) State() (*manifester.Manifest, recorder.Offset) {
+	return s.manifest, s.position.Next()
+}
+
+// peer starts a server over the state and returns its address, what it counted
+// and a client.
+func peer(t testing.TB, s *fakeState) (string, *counter, *messenger.Configuration) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &counter{
+		Listener: ln,
+	}
+	server := messenger.NewServer(c)
+	if err := messenger.RegisterConfiguration(server.Mux(), "vm-10", s); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	pool := messenger.NewPool()
+	t.Cleanup(func() {
+		if err := pool.Close(); err != nil {
+			t.Error(err)
+		}
+		cancel()
+		<-done
+	})
+
+	return ln.Addr().String(), c, messenger.NewConfiguration("vm-11", pool)
+}
+
+func position() follower.Position {
+	return follower.NewPosition(13_000, true, 250*time.Millisecond, true)
+}
+
+// TestConfiguration compares what a peer answers over TCP with the golden file.
+func TestConfiguration(t *testing.T) {
+	teams := make([]*manifester.Team, 0, 4100)
+	for i := range cap(teams) {
+		teams = append(teams, manifester.NewTeam(fmt.Sprintf("team-%d", i), 10, 5, 1, nil))
+	}
+	m, err := manifester.Restore(12_999, nil, teams, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, _, client := peer(t, &fakeState{
+		position: position(),
+		records: []recorder.Record{
+			recorder.NewRecord(12_998, []byte("first")),
+			recorder.NewRecord(12_999, bytes.Repeat([]byte("x"), 1<<20)),
+		},
+		manifest: m,
+	})
+	var out strings.Builder
+	p, err := client.Exchange(t.Context(), address, follower.Position{})
+	fmt.Fprintf(&out, "position: next %d, known %v, ready %v, error %v\n", p.Next(), p.Known(), p.Ready(), err)
+	if p.Age() < position().Age() {
+		t.Errorf("the age %v is understated", p.Age())
+	}
+	for _, from := range []recorder.Offset{12_997, 12_998, 12_999, 13_000} {
+		records, kept, err := client.Records(t.Context(), address, from)
+		fmt.Fprintf(&out, "records from %d: kept %v, error %v\n", from, kept, err)
+		for _, r := range records {
+			fmt.Fprintf(&out, "  %d: %d bytes\n", r.Offset(), len(r.Data()))
+		}
+	}
+	got, next, err := client.Snapshot(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(&out, "snapshot: version %d, next %d, %d objects differ\n", got.Version(), next, m.Diff("", got).Size())
+	goldie.New(t).Assert(t, "configuration", []byte(out.String()))
+}
+
+// BenchmarkExchange reports the bytes of one exchange of positions, without
+// what TCP and IP add.
+func BenchmarkExchange(b *testing.B) {
+	address, count, client := peer(b, &fakeState{
+		position: position(),
+	})
+	n := 0
+	for b.Loop() {
+		n++
+		if _, err := client.Exchange(b.Context(), address, position()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(count.in.Load())/float64(n), "B-asked")
+	b.ReportMetric(float64(count.out.Load())/float64(n), "B-answered")
+}
