--- a/internal/snapshotter/snapshotter_test.go
+++ b/internal/snapshotter/snapshotter_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/encoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/keyer"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/recorder"
@@ -244,3 +245,41 @@
 		t.Errorf("a VM off duty wrote %d records", n)
 	}
 }
+
+// BenchmarkSnapshot reports the size of a snapshot and the time to write and
+// read it.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, teams := range []int{16, 1_000, 930_000} {
+		list := make([]*manifester.Team, 0, teams)
+		for i := range teams {
+			list = append(list, manifester.NewTeam(fmt.Sprintf("team-%d", i), 100, 20, 1, []string{keyer.Digest(fmt.Sprint(i))}))
+		}
+		m, err := manifester.Restore(0, nil, list, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint(teams), func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				size = 0
+				var collector snapshotter.Collector
+				for _, c := range snapshotter.Split("s", m, 1) {
+					data, err := encoder.Chunk(c)
+					if err != nil {
+						b.Fatal(err)
+					}
+					size += len(data)
+					back, err := decoder.Chunk(data)
+					if err != nil {
+						b.Fatal(err)
+					}
+					collector.Add(back)
+				}
+				if _, _, err := collector.Manifest(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
