--- a/internal/handler/message.go
+++ b/internal/handler/message.go
@@ -138,3 +138,14 @@
 
 // Body returns the body.
 func (r *Response) Body() []byte { return r.body }
+
+// With returns a copy with one more header field; the body is shared.
+func (r *Response) With(name, value string) *Response {
+	c := NewResponse(r.status, r.body)
+	c.fields.list = append(append([]Field(nil), r.fields.list...), Field{
+		name:  name,
+		value: value,
+	})
+
+	return c
+}
--- /dev/null
+++ b/internal/keyer/fingerprint.go
@@ -0,0 +1,28 @@
+package keyer
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+type request interface {
+	Method() string
+	Path() string
+	Query() string
+	Body() []byte
+}
+
+// Fingerprint returns a digest that tells two requests apart by method, path,
+// query and body.
+func Fingerprint(r request) string {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(r.Method()), []byte(r.Path()), []byte(r.Query()), r.Body()} {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(part)))
+		_, _ = h.Write(n[:]) // A digest never fails.
+		_, _ = h.Write(part) // A digest never fails.
+	}
+
+	return hex.EncodeToString(h.Sum(nil))
+}
