Let a request with an idempotency key run at most once

Cause: nothing kept two VMs from sending the same booking twice.

Ruled out: a ledger per VM (a repeat comes in at another VM); granting before the claim stands in the log (a crash in between sends it twice); trusting the lease from before the append (it may lapse while the append waits).

Change: the claim filter asks the holder of (team, key) before admission. The holder makes its knowledge complete in each term, reserves the key, waits for its record in the claims stream and looks at its lease again. While the log is down holder and sender, or a witness, remember; a new holder asks all members and refuses where too few answer. What verifiably did not run is released.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
+	"github.com/lagoonkeel/lagoonkeel/internal/claimer"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
-	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/follower"
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
@@ -23,7 +23,6 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
 	"github.com/lagoonkeel/lagoonkeel/internal/picker"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
-	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
@@ -42,10 +41,16 @@
 	server   *messenger.Server
 	pool     *messenger.Pool
 	listener *listener.Listener
+	// stopper runs the listener and the planned stop.
+	stopper *stopper
 	// transport holds the connections to targets.
 	transport *forwarder.Transport
+	// claims makes claims for requests with idempotency keys.
+	claims *claimer.Sender
 	// operators serves readiness, status and metrics.
 	operators *operators
+	// controllers run from the start to the end of the process.
+	controllers []supervisor.Controller
 }
 
 // sockets are the open listeners of a VM.
@@ -68,12 +73,33 @@
 		server:   messenger.NewServer(open.peers),
 		pool:     messenger.NewPool(),
 	}
-	v.follower = follower.New(streamer.NewClient(s.LogBase()), decoder.Change, v.timers, l)
+	v.follower = newFollower(s, v.timers, l)
 	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
 	v.transport = forwarder.NewTransport(v.timers, v.connections)
+	if err := addConfiguration(v); err != nil {
+		return nil, err
+	}
+	if err := addClaims(v); err != nil {
+		return nil, err
+	}
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
+	v.stopper = &stopper{
+		grace:  s.StopGrace(),
+		front:  v.listener,
+		timers: v.timers,
+		logger: l,
+	}
 	v.operators = newOperators(open.operators, v)
+	v.controllers = append(v.controllers,
+		v.timers,
+		v.follower,
+		v.watcher,
+		v.server,
+		v.transport,
+		v.operators,
+		v.stopper,
+	)
 
 	return v, nil
 }
@@ -112,10 +138,13 @@
 func (v *VM) chain() *handler.Chain {
 	return handler.NewChain(
 		filterer.NewLimit(v.settings.MaxBody(), maxFields),
+		filterer.NewReady(v.follower),
 		filterer.NewAuthenticate(v.follower),
 		filterer.NewScrub(),
 		filterer.NewRoute(),
+		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
+		filterer.NewClaim(v.claims),
 		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
 		filterer.NewRetry(retrier.New(), v.timers),
 		filterer.NewPick(picker.NewRandom(), v.timers),
@@ -129,7 +158,7 @@
 
 // Ready reports whether the VM may get callers' requests.
 func (v *VM) Ready() bool {
-	return v.follower.Ready()
+	return v.follower.Ready() && !v.stopper.Stopping()
 }
 
 // Version returns the version of the manifest in force on this VM.
@@ -145,11 +174,15 @@
 // Run serves until ctx ends, then stops gracefully.
 func (v *VM) Run(ctx context.Context) error {
 	v.logger.Log(logger.Started,
-		logger.Text("callers", v.settings.Callers()),
+		logger.Text("callers", v.listener.Address()),
 		logger.Text("peers", v.settings.Peers()),
 		logger.Text("operators", v.settings.Operators()))
 	start := v.timers.Now()
-	err := supervisor.Run(ctx, v.timers, v.follower, v.watcher, v.server, v.transport, v.listener, v.operators)
+	running, finish := context.WithCancel(context.WithoutCancel(ctx))
+	defer finish()
+	v.stopper.asked = ctx
+	v.stopper.finish = finish
+	err := supervisor.Run(running, v.controllers...)
 	if err != nil {
 		v.logger.Log(logger.Failed, logger.Failure(err))
 
--- a/internal/claimer/holder.go
+++ b/internal/claimer/holder.go
@@ -18,15 +18,19 @@
 	// settledTime is how long the log must have answered without a failure
 	// until no claim of an earlier outage can be missing from it.
 	settledTime = 5 * time.Second
-	// viewPeriod is the time between two looks at the holders.
-	viewPeriod = time.Second
+	// notePeriod is the time between two looks at the holders.
+	notePeriod = time.Second
 )
 
 type membership interface {
 	// Active reports whether this VM may act as holder at this moment.
 	Active(r member.Range) (member.Term, bool)
-	// View returns the present view.
-	View() *member.View
+	// Holder returns the member that should hold the range.
+	Holder(r member.Range) member.VM
+	// Self returns this VM.
+	Self() member.VM
+	// Peers returns every other member.
+	Peers() []member.VM
 }
 
 type peers interface {
@@ -87,14 +91,10 @@
 
 // Run notes who holds the ranges until ctx ends.
 func (h *Holder) Run(ctx context.Context) error {
-	tick := h.timers.Every(viewPeriod)
+	tick := h.timers.Every(notePeriod)
 	defer tick.Stop()
-	var last *member.View
 	for {
-		if v := h.members.View(); v != last {
-			h.note(v)
-			last = v
-		}
+		h.note()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -103,12 +103,14 @@
 	}
 }
 
-func (h *Holder) note(v *member.View) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// note remembers the holder of each range that another VM holds.
+func (h *Holder) note() {
+	self := h.members.Self().ID()
 	for r := range member.Range(member.RangeCount) {
-		if id := v.Holder(r).ID(); id != v.Self().ID() {
+		if id := h.members.Holder(r).ID(); id != self {
+			h.mu.Lock()
 			h.earlier[r] = id
+			h.mu.Unlock()
 		}
 	}
 }
@@ -124,7 +126,7 @@
 	if !h.cover(ctx, r, term) {
 		return NewDecision(VerdictUnavailable, false, nil)
 	}
-	if now, still := h.members.Active(r); !still || now != term {
+	if !h.still(r, term) {
 		return NewDecision(VerdictNotHolder, false, nil)
 	}
 	d := h.ledger.Reserve(h.timers.Now(), c)
@@ -132,21 +134,31 @@
 		return d
 	}
 	durable := h.journal.Append(ctx, c)
-	if ctx.Err() != nil {
-		return NewDecision(VerdictUnavailable, false, nil)
-	}
-	if !durable && c.sender == h.members.View().Self().ID() && !h.witness(ctx, c) {
+	if ctx.Err() != nil || (!durable && !h.remembered(ctx, c)) {
 		return NewDecision(VerdictUnavailable, false, nil)
 	}
 	// The lease may have lapsed meanwhile: then the next holder may have read
 	// the log before the claim stood in it.
-	if now, still := h.members.Active(r); !still || now != term {
+	if !h.still(r, term) {
 		return NewDecision(VerdictNotHolder, false, nil)
 	}
 
 	return NewDecision(VerdictGranted, durable, nil)
 }
 
+// still reports whether this VM holds the range at this moment, in the term.
+func (h *Holder) still(r member.Range, term member.Term) bool {
+	now, active := h.members.Active(r)
+
+	return active && now == term
+}
+
+// remembered reports whether a claim that is not in the log is remembered by
+// another VM, be it the sender or a witness.
+func (h *Holder) remembered(ctx context.Context, c Claim) bool {
+	return c.sender != h.members.Self().ID() || h.witness(ctx, c)
+}
+
 // Settle remembers what became of a claim.
 func (h *Holder) Settle(s Settlement) {
 	h.ledger.Settle(h.timers.Now(), s)
@@ -160,7 +172,7 @@
 // witness has one other VM remember a claim whose holder is also its sender.
 // A fleet of one VM has nobody to ask.
 func (h *Holder) witness(ctx context.Context, c Claim) bool {
-	list := h.members.View().Peers()
+	list := h.members.Peers()
 	start := int(c.Range())
 	for i := range list {
 		if h.ask(ctx, list[(start+i)%len(list)], c) {
@@ -233,7 +245,7 @@
 // recall learns what the members remember and returns those that did not
 // answer.
 func (h *Holder) recall(ctx context.Context, r member.Range, from recorder.Offset) []member.ID {
-	list := h.members.View().Peers()
+	list := h.members.Peers()
 	answers := make([][]Settlement, len(list))
 	failed := make([]bool, len(list))
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
--- a/internal/claimer/sender.go
+++ b/internal/claimer/sender.go
@@ -55,7 +55,7 @@
 // Begin asks for the claim of a request. Only a granted claim allows the
 // request to be sent; it must be settled once by Settle.
 func (s *Sender) Begin(ctx context.Context, deadline timer.Instant, team, key, fingerprint string) (Claim, Decision) {
-	self := s.members.View().Self()
+	self := s.members.Self()
 	c := NewClaim(Spec{
 		ID:          s.names.next(),
 		Team:        team,
@@ -98,9 +98,8 @@
 }
 
 func (s *Sender) ask(ctx context.Context, c Claim) Decision {
-	v := s.members.View()
-	to := v.Holder(c.Range())
-	if to.ID() == v.Self().ID() {
+	to := s.members.Holder(c.Range())
+	if to.ID() == s.members.Self().ID() {
 		return s.holder.Claim(ctx, c)
 	}
 	d, err := s.peers.Claim(ctx, to, c)
@@ -165,9 +164,8 @@
 // tell passes a settlement to the holder. Where that fails, the log tells it
 // of a release, and an answer is not kept there.
 func (s *Sender) tell(ctx context.Context, settled Settlement) {
-	v := s.members.View()
-	to := v.Holder(settled.claim.Range())
-	if to.ID() == v.Self().ID() {
+	to := s.members.Holder(settled.claim.Range())
+	if to.ID() == s.members.Self().ID() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
--- a/internal/filterer/claim.go
+++ b/internal/filterer/claim.go
@@ -64,7 +64,7 @@
 	var r *handler.Refusal
 	switch {
 	case err == nil:
-		c.claims.Settle(ctx, claim, false, x.Response())
+		c.claims.Settle(ctx, claim, false, x.Response().Clone())
 	case errors.As(err, &r) && r.Outcome() == handler.OutcomeNotRun:
 		c.claims.Settle(ctx, claim, true, nil)
 	default:
@@ -78,7 +78,9 @@
 func repeat(x *handler.Exchange, d claimer.Decision) error {
 	switch d.Verdict() {
 	case claimer.VerdictAnswered:
-		x.SetResponse(d.Answer().With(RepeatedField, "true"))
+		answer := d.Answer().Clone()
+		answer.Fields().Set(RepeatedField, "true")
+		x.SetResponse(answer)
 
 		return nil
 	case claimer.VerdictSent:
--- a/internal/messenger/claims.go
+++ b/internal/messenger/claims.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/claimer"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
@@ -95,9 +96,9 @@
 	memory claimMemory
 }
 
-// RegisterClaims registers the answers to calls about claims with the server.
-func RegisterClaims(s *Server, h claimHolder, m claimMemory) error {
-	return errors.Wrap(peerpb.DRPCRegisterClaims(s.Mux(), &ClaimServer{
+// RegisterClaims registers the answers to calls about claims with the mux.
+func RegisterClaims(mux drpc.Mux, h claimHolder, m claimMemory) error {
+	return errors.Wrap(peerpb.DRPCRegisterClaims(mux, &ClaimServer{
 		holder: h,
 		memory: m,
 	}), "registering claims")
