--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
+	"github.com/lagoonkeel/lagoonkeel/internal/borrower"
 	"github.com/lagoonkeel/lagoonkeel/internal/claimer"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
@@ -21,10 +21,11 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
-	"github.com/lagoonkeel/lagoonkeel/internal/picker"
+	"github.com/lagoonkeel/lagoonkeel/internal/meter"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/internal/tracer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
@@ -40,13 +41,18 @@
 	watcher  *member.Watcher
 	server   *messenger.Server
 	pool     *messenger.Pool
+	targets  *targets
 	listener *listener.Listener
+	tracer   *tracer.Tracer
+	meter    *meter.Meter
 	// stopper runs the listener and the planned stop.
 	stopper *stopper
 	// transport holds the connections to targets.
 	transport *forwarder.Transport
 	// claims makes claims for requests with idempotency keys.
 	claims *claimer.Sender
+	// borrower admits callers' requests by the fleet-wide rates.
+	borrower *borrower.Borrower
 	// operators serves readiness, status and metrics.
 	operators *operators
 	// controllers run from the start to the end of the process.
@@ -69,17 +75,27 @@
 	v := &VM{
 		settings: s,
 		logger:   l,
+		meter:    meter.New(),
 		timers:   timer.NewService(),
 		server:   messenger.NewServer(open.peers),
 		pool:     messenger.NewPool(),
 	}
+	if v.tracer, err = tracer.New(context.Background(), s.Tracing(), s.ID()); err != nil {
+		return nil, err
+	}
 	v.follower = newFollower(s, v.timers, l)
 	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
 	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
+	if err := addTargets(v); err != nil {
+		return nil, err
+	}
 	v.transport = forwarder.NewTransport(v.timers, v.connections)
 	if err := addConfiguration(v); err != nil {
 		return nil, err
 	}
+	if err := addRates(v); err != nil {
+		return nil, err
+	}
 	if err := addClaims(v); err != nil {
 		return nil, err
 	}
@@ -137,6 +153,8 @@
 // chain builds the filter chain in the order in which decisions are made.
 func (v *VM) chain() *handler.Chain {
 	return handler.NewChain(
+		filterer.NewTraceRequest(v.tracer),
+		filterer.NewCount(v.meter, v.timers),
 		filterer.NewLimit(v.settings.MaxBody(), maxFields),
 		filterer.NewReady(v.follower),
 		filterer.NewAuthenticate(v.follower),
@@ -145,9 +163,10 @@
 		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
 		filterer.NewClaim(v.claims),
-		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
+		filterer.NewAdmit(v.borrower),
 		filterer.NewRetry(retrier.New(), v.timers),
-		filterer.NewPick(picker.NewRandom(), v.timers),
+		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
+		filterer.NewTraceAttempt(v.tracer),
 		filterer.NewForward(v.transport),
 	)
 }
@@ -171,6 +190,11 @@
 	return v.listener.Address()
 }
 
+// Peers returns the address at which other VMs reach this one.
+func (v *VM) Peers() string {
+	return v.watcher.View().Self().Address()
+}
+
 // Run serves until ctx ends, then stops gracefully.
 func (v *VM) Run(ctx context.Context) error {
 	v.logger.Log(logger.Started,
@@ -190,7 +214,9 @@
 	}
 	v.logger.Log(logger.Stopped, logger.Millis("ran", v.timers.Now().Sub(start)))
 
-	return errors.Wrap(v.pool.Close(), "stopping the VM")
+	err = errors.CombineErrors(v.pool.Close(), v.tracer.Close(context.WithoutCancel(ctx)))
+
+	return errors.Wrap(err, "stopping the VM")
 }
 
 // shutdownTimeout bounds the stop of the operators' listener.
--- a/internal/claimer/fleet_test.go
+++ b/internal/claimer/fleet_test.go
@@ -200,10 +200,10 @@
 	f.term++
 }
 
-// loseHolder ends vm-0 and makes another the holder.
-func (f *fleet) loseHolder(next int) {
+// loseHolder ends vm-0 and makes vm-2 the holder.
+func (f *fleet) loseHolder() {
 	f.nodes[0].dead.Store(true)
-	f.hold(next)
+	f.hold(2)
 }
 
 func (n *node) Active(member.Range) (member.Term, bool) {
@@ -384,7 +384,7 @@
 			f.see()
 			_, got := f.ask(1, "k")
 			say("vm-1: %s", got)
-			f.loseHolder(2)
+			f.loseHolder()
 			_, got = f.ask(3, "k")
 			say("vm-3 repeats at the new holder: %s", got)
 		}},
@@ -392,7 +392,7 @@
 			_, got := f.ask(1, "k")
 			say("vm-1: %s", got)
 			f.nodes[1].dead.Store(true)
-			f.loseHolder(2)
+			f.loseHolder()
 			_, got = f.ask(3, "k")
 			say("vm-3 repeats at once: %s", got)
 			f.clock.ahead.Add(int64(time.Minute))
@@ -421,7 +421,7 @@
 			f.logDown(true)
 			_, got := f.ask(1, "k")
 			say("vm-1: %s", got)
-			f.loseHolder(2)
+			f.loseHolder()
 			_, got = f.ask(3, "k")
 			say("vm-3 repeats at the new holder: %s", got)
 			_, got = f.ask(3, "other")
@@ -433,7 +433,7 @@
 			_, got := f.ask(1, "k")
 			say("vm-1: %s", got)
 			f.nodes[1].dead.Store(true)
-			f.loseHolder(2)
+			f.loseHolder()
 			_, got = f.ask(3, "k")
 			say("vm-3 repeats at the new holder: %s", got)
 		}},
@@ -442,7 +442,7 @@
 			f.logDown(true)
 			_, got := f.ask(0, "k")
 			say("vm-0: %s", got)
-			f.loseHolder(2)
+			f.loseHolder()
 			_, got = f.ask(3, "k")
 			say("vm-3 repeats at the new holder: %s", got)
 		}},
@@ -463,7 +463,7 @@
 			f.logDown(false)
 			f.waitFor("the claim is in the log", func() bool { return f.log.count() > 0 })
 			f.nodes[1].dead.Store(true)
-			f.loseHolder(2)
+			f.loseHolder()
 			f.clock.ahead.Add(int64(time.Minute))
 			_, got = f.ask(3, "k")
 			say("vm-3 repeats: %s", got)
