Count a VM that started during a log outage as silent

Cause: a VM that restarts with empty memory answered a new holder's question as if it knew that there were no claims.

Change: before its first reading of the stream to the head a VM refuses to speak for its memory, so that the new holder counts it as silent.

--- a/internal/assembler/claims.go
+++ b/internal/assembler/claims.go
@@ -18,26 +18,26 @@
 
 // fleet is the membership as claims need it.
 type fleet struct {
-	watcher *member.Watcher
+	member *member.Keeper
 }
 
 // Active reports whether this VM may act as holder at this moment.
-func (f *fleet) Active(r member.Range) (member.Term, bool) { return f.watcher.Active(r) }
+func (f *fleet) Active(r member.Range) (member.Term, bool) { return f.member.Active(r) }
 
 // Holder returns the member that should hold the range.
-func (f *fleet) Holder(r member.Range) member.VM { return f.watcher.View().Holder(r) }
+func (f *fleet) Holder(r member.Range) member.VM { return f.member.View().Holder(r) }
 
 // Self returns this VM.
-func (f *fleet) Self() member.VM { return f.watcher.View().Self() }
+func (f *fleet) Self() member.VM { return f.member.View().Self() }
 
 // Peers returns every other member.
-func (f *fleet) Peers() []member.VM { return f.watcher.View().Peers() }
+func (f *fleet) Peers() []member.VM { return f.member.View().Peers() }
 
 // addClaims joins the ledger of claims with the log and the peers.
 func addClaims(v *VM) error {
 	ledger := claimer.NewLedger()
 	journal := claimer.NewJournal(ledger, streamer.NewClient(v.settings.LogBase()), messenger.ClaimCodec{}, v.timers, v.logger)
-	holder := claimer.NewHolder(ledger, journal, &fleet{watcher: v.watcher}, messenger.NewClaimPeers(v.pool), v.timers, v.logger)
+	holder := claimer.NewHolder(ledger, journal, &fleet{member: v.member}, messenger.NewClaimPeers(v.pool), v.timers, v.logger)
 	v.claims = claimer.NewSender(holder)
 	if err := messenger.RegisterClaims(v.server.Mux(), holder, v.claims); err != nil {
 		return errors.Wrap(err, "building claims")
--- a/internal/claimer/fleet_test.go
+++ b/internal/claimer/fleet_test.go
@@ -164,13 +164,25 @@
 	})
 }
 
-func (f *fleet) add() *node {
+func (f *fleet) add() {
+	f.mu.Lock()
+	i := len(f.nodes)
+	f.nodes = append(f.nodes, nil)
+	f.mu.Unlock()
+	f.replace(i)
+}
+
+// replace starts a VM anew without what the old process remembered.
+func (f *fleet) replace(i int) {
 	n := &node{
 		fleet: f,
+		vm:    member.NewVM(member.ID(fmt.Sprintf("vm-%d", i)), 1, fmt.Sprint(i), "kandy"),
 	}
 	f.mu.Lock()
-	n.vm = member.NewVM(member.ID(fmt.Sprintf("vm-%d", len(f.nodes))), 1, fmt.Sprint(len(f.nodes)), "kandy")
-	f.nodes = append(f.nodes, n)
+	if f.nodes[i] != nil {
+		f.nodes[i].dead.Store(true)
+	}
+	f.nodes[i] = n
 	if f.holder == nil {
 		f.holder = n
 	}
@@ -183,13 +195,11 @@
 	f.run(n.holder)
 	if !f.log.down {
 		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-			if _, up := n.journal.Up(f.clock.Now()); up {
+			if n.journal.Known() {
 				break
 			}
 		}
 	}
-
-	return n
 }
 
 // hold makes a VM the holder in a new term.
@@ -278,7 +288,7 @@
 		return nil, err
 	}
 
-	return o.sender.Recall(r, from), nil
+	return o.sender.Recall(r, from)
 }
 
 func (n *node) Remember(_ context.Context, to member.VM, c claimer.Claim) error {
@@ -456,6 +466,40 @@
 			_, got = f.ask(0, "k")
 			say("vm-0 alone: %s", got)
 		}},
+		{"the log is down and a fresh VM is made the holder", func(f *fleet, say func(string, ...any)) {
+			f.see()
+			_, got := f.ask(1, "before")
+			say("vm-1 while the log is up: %s", got)
+			f.logDown(true)
+			_, got = f.ask(1, "k")
+			say("vm-1: %s", got)
+			f.add()
+			f.hold(4)
+			_, got = f.ask(3, "before")
+			say("vm-3 repeats the first at the fresh holder: %s", got)
+			_, got = f.ask(3, "k")
+			say("vm-3 repeats the second: %s", got)
+		}},
+		{"the log is down and two VMs are replaced", func(f *fleet, say func(string, ...any)) {
+			f.see()
+			f.logDown(true)
+			_, got := f.ask(1, "k")
+			say("vm-1: %s", got)
+			f.replace(0)
+			f.replace(1)
+			f.hold(2)
+			_, got = f.ask(3, "k")
+			say("vm-3 repeats at the new holder: %s", got)
+		}},
+		{"a fleet starts while the log is down", func(f *fleet, say func(string, ...any)) {
+			f.logDown(true)
+			for i := range f.nodes {
+				f.replace(i)
+			}
+			f.hold(0)
+			_, got := f.ask(3, "k")
+			say("vm-3: %s", got)
+		}},
 		{"the log comes back after both are lost", func(f *fleet, say func(string, ...any)) {
 			f.logDown(true)
 			_, got := f.ask(1, "k")
--- a/internal/claimer/holder.go
+++ b/internal/claimer/holder.go
@@ -227,24 +227,27 @@
 }
 
 // complete reads the log and asks the members. While the log is down, or was a
-// moment ago, every member must answer but the earlier holder: what that one
+// moment ago, every VM must answer but the earlier holder: what that one
 // granted is remembered by the senders.
 func (h *Holder) complete(ctx context.Context, r member.Range) bool {
 	from := h.journal.Position()
 	read := h.journal.CatchUp(ctx) == nil
-	silent := h.recall(ctx, r, from)
+	silent, answered := h.recall(ctx, r, from)
 	if since, up := h.journal.Up(h.timers.Now()); read && up && since > settledTime {
 		return true
 	}
+	if !h.journal.Known() && answered == 0 {
+		return false
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
 	return len(silent) == 0 || (len(silent) == 1 && silent[0] == h.earlier[r])
 }
 
-// recall learns what the members remember and returns those that did not
-// answer.
-func (h *Holder) recall(ctx context.Context, r member.Range, from recorder.Offset) []member.ID {
+// recall learns what the other VMs remember. It returns those that did not
+// answer and the number of those that did.
+func (h *Holder) recall(ctx context.Context, r member.Range, from recorder.Offset) (silent []member.ID, answered int) {
 	list := h.members.Peers()
 	answers := make([][]Settlement, len(list))
 	failed := make([]bool, len(list))
@@ -262,16 +265,18 @@
 	}
 	_ = g.Wait() // Failures are in the slice.
 	now := h.timers.Now()
-	var silent []member.ID
 	for i, p := range list {
 		if failed[i] {
 			silent = append(silent, p.ID())
+
+			continue
 		}
+		answered++
 		for _, s := range answers[i] {
 			h.ledger.Learn(now, s.claim)
 			h.ledger.Settle(now, s)
 		}
 	}
 
-	return silent
+	return silent, answered
 }
--- a/internal/claimer/journal.go
+++ b/internal/claimer/journal.go
@@ -70,6 +70,8 @@
 	// contact is the instant since which the log has answered without a
 	// failure; 0 while it is down.
 	contact atomic.Int64
+	// known is set once the stream was read to its head.
+	known atomic.Bool
 	// wake tells the writer of new work.
 	wake chan struct{}
 	// mu guards waiting and releases; it is never held during I/O.
@@ -136,6 +138,10 @@
 	return now.Sub(timer.Instant(c)), true
 }
 
+// Known reports whether the stream was ever read to its head. Before that this
+// VM knows nothing of what was claimed before its start.
+func (j *Journal) Known() bool { return j.known.Load() }
+
 // Append writes a claim and reports whether it stands in the log. It waits
 // while the log is up, and not at all while it is down.
 func (j *Journal) Append(ctx context.Context, c Claim) bool {
@@ -242,6 +248,9 @@
 	}
 	j.up(now)
 	j.finish()
+	if j.Position() >= b.Head() {
+		j.known.Store(true)
+	}
 
 	return b.Head(), nil
 }
--- a/internal/claimer/sender.go
+++ b/internal/claimer/sender.go
@@ -138,8 +138,21 @@
 	}
 }
 
-// Recall returns what this VM remembers of the range.
-func (s *Sender) Recall(r member.Range, from recorder.Offset) []Settlement {
+// UnknownError reports that a VM which started during a log outage was asked
+// for what it remembers.
+type UnknownError struct{}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return "this VM has not read the claims stream since its start and cannot speak for it; ask again when the log is up"
+}
+
+// Recall returns what this VM remembers of the range. The error is an
+// *UnknownError.
+func (s *Sender) Recall(r member.Range, from recorder.Offset) ([]Settlement, error) {
+	if !s.journal.Known() {
+		return nil, &UnknownError{}
+	}
 	found := s.ledger.Recall(r, from)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -149,7 +162,7 @@
 		}
 	}
 
-	return found
+	return found, nil
 }
 
 // release gives a claim back whose request was not sent or did not run.
--- a/internal/messenger/claims.go
+++ b/internal/messenger/claims.go
@@ -87,7 +87,7 @@
 
 // claimMemory tells what this VM remembers of a range.
 type claimMemory interface {
-	Recall(r member.Range, from recorder.Offset) []claimer.Settlement
+	Recall(r member.Range, from recorder.Offset) ([]claimer.Settlement, error)
 }
 
 // ClaimServer answers the calls of other VMs about claims.
@@ -124,7 +124,10 @@
 
 // Recall returns what this VM remembers of a range.
 func (s *ClaimServer) Recall(_ context.Context, r *peerpb.RecallRequest) (*peerpb.RecallReply, error) {
-	list := s.memory.Recall(member.Range(r.GetRange()%member.RangeCount), recorder.Offset(r.GetFrom()))
+	list, err := s.memory.Recall(member.Range(r.GetRange()%member.RangeCount), recorder.Offset(r.GetFrom()))
+	if err != nil {
+		return nil, errors.Wrap(err, "recalling claims")
+	}
 	reply := &peerpb.RecallReply{}
 	for _, c := range list {
 		reply.Settlements = append(reply.Settlements, fromSettlement(c))
