--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -21,6 +21,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
 	"github.com/lagoonkeel/lagoonkeel/internal/meter"
+	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -51,6 +52,8 @@
 	transport *forwarder.Transport
 	// claims makes claims for requests with idempotency keys.
 	claims *claimer.Sender
+	// quarantine refuses requests that end their targets.
+	quarantine *quarantiner.Quarantiner
 	// borrower admits callers' requests by the fleet-wide rates.
 	borrower *borrower.Borrower
 	// operators serves readiness, status and metrics.
@@ -167,9 +170,11 @@
 		filterer.NewRoute(),
 		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
+		filterer.NewQuarantine(v.quarantine),
 		filterer.NewClaim(v.claims),
 		filterer.NewAdmit(v.borrower),
 		filterer.NewRetry(retrier.New(), v.timers),
+		filterer.NewCrashWatch(v.quarantine, v.transport),
 		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
 		filterer.NewForward(v.transport),
--- a/internal/assembler/claims.go
+++ b/internal/assembler/claims.go
@@ -6,6 +6,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/claimer"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
+	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
 	"github.com/lagoonkeel/lagoonkeel/internal/streamer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
@@ -33,7 +34,8 @@
 // Peers returns every other member.
 func (f *fleet) Peers() []member.VM { return f.member.View().Peers() }
 
-// addClaims joins the ledger of claims with the log and the peers.
+// addClaims joins the ledger of claims and the quarantine with the log and the
+// peers.
 func addClaims(v *VM) error {
 	ledger := claimer.NewLedger()
 	journal := claimer.NewJournal(ledger, streamer.NewClient(v.settings.LogBase()), messenger.ClaimCodec{}, v.timers, v.logger)
@@ -43,6 +45,8 @@
 		return errors.Wrap(err, "building claims")
 	}
 	v.controllers = append(v.controllers, journal, holder)
+	others := func() []member.VM { return v.member.View().Peers() }
+	v.quarantine = quarantiner.New(v.timers, messenger.NewQuarantinePeers(v.pool, others), v.logger)
 
-	return nil
+	return errors.Wrap(messenger.RegisterQuarantines(v.server.Mux(), v.quarantine), "building the quarantine")
 }
--- a/internal/claimer/journal.go
+++ b/internal/claimer/journal.go
@@ -212,7 +212,11 @@
 // follow reads new records as they come.
 func (j *Journal) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		_, err := j.read(ctx, pollWait)
+		wait := pollWait
+		if j.contact.Load() == 0 {
+			wait = 0 // The first answer tells that the log is up.
+		}
+		_, err := j.read(ctx, wait)
 		if err == nil {
 			continue
 		}
--- a/internal/claimer/sender.go
+++ b/internal/claimer/sender.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// claimWait bounds how long a request waits for the holder's decision.
-	claimWait = 5 * time.Second
+	// claimWait bounds how long a request waits for the holder's decision. It
+	// must be shorter than settledTime: a new holder counts on it that no older
+	// decision is still under way.
+	claimWait = 3 * time.Second
 	// claimRetry is the time between two questions to the holder.
 	claimRetry = 100 * time.Millisecond
 	// settleTimeout bounds the telling of what became of a claim.
@@ -84,10 +86,14 @@
 // decide asks the holder until it decides, the time is up or ctx ends.
 func (s *Sender) decide(ctx context.Context, deadline timer.Instant, c Claim) Decision {
 	limit := min(claimWait, deadline.Sub(s.timers.Now()))
+	end := s.timers.Now().Add(limit)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
 		d := s.ask(ctx, c)
+		if s.timers.Now().After(end) { // A decision from before a freeze is void.
+			return NewDecision(VerdictUnavailable, false, nil)
+		}
 		if d.verdict != VerdictUnavailable && d.verdict != VerdictNotHolder {
 			return d
 		}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -65,9 +65,10 @@
 	return t.pool.run(ctx)
 }
 
-// Alive reports whether the target takes a new connection.
-func (t *Transport) Alive(ctx context.Context, target *manifester.Target) bool {
-	return t.pool.alive(ctx, target.Address())
+// Refuses reports whether the target's machine refuses new connections, as it
+// does once the target's process has ended.
+func (t *Transport) Refuses(ctx context.Context, target *manifester.Target) bool {
+	return t.pool.refuses(ctx, target.Address())
 }
 
 // Do sends the request to the picked target and returns what came of it.
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
@@ -243,17 +244,17 @@
 	}
 }
 
-// alive reports whether a new connection to the address can be opened.
-func (p *pool) alive(ctx context.Context, address string) bool {
+// refuses reports whether a new connection to the address is refused.
+func (p *pool) refuses(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return false
+		return errors.Is(err, unix.ECONNREFUSED)
 	}
 	_ = conn.Close() // Nothing was sent on it.
 
-	return true
+	return false
 }
 
 // run closes old idle connections until ctx ends, then all idle ones.
