--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,10 @@
 model: ## Model-check the core protocol (needs spin and gcc; about a minute and a half).
 	bash model/check.sh
 
+measure: ## Measure the policies; writes JSON files below measure/.
+	mkdir -p measure
+	LAGOONKEEL_MEASURE=$(CURDIR)/measure go test -count=1 -p 1 -timeout 30m -v -run '^TestMeasure' ./...
+
 generate: ## Generate the messages between VMs (needs buf and its plugins).
 	buf generate
 
