--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/borrower"
+	"github.com/lagoonkeel/lagoonkeel/internal/claimer"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/follower"
@@ -20,6 +22,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
 	"github.com/lagoonkeel/lagoonkeel/internal/meter"
+	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -48,14 +51,25 @@
 	stopper *stopper
 	// transport holds the connections to targets.
 	transport *forwarder.Transport
+	// claims makes claims for requests with idempotency keys.
+	claims *claimer.Sender
+	// quarantine refuses requests that end their targets.
+	quarantine *quarantiner.Quarantiner
 	// borrower admits callers' requests by the fleet-wide rates.
 	borrower *borrower.Borrower
 	// operators serves readiness, status and metrics.
 	operators *operators
+	// built is when the process was assembled.
+	built timer.Instant
+	// hasSettled is set once the VM has settled in the fleet.
+	hasSettled atomic.Bool
 	// controllers run from the start to the end of the process.
 	controllers []supervisor.Controller
 }
 
+// settleTimeout bounds the wait of a new VM for ranges of its own.
+const settleTimeout = 6 * time.Second
+
 // sockets are the open listeners of a VM.
 type sockets struct {
 	callers   net.Listener
@@ -77,6 +91,7 @@
 		server:   messenger.NewServer(open.peers),
 		pool:     messenger.NewPool(),
 	}
+	v.built = v.timers.Now()
 	if v.tracer, err = tracer.New(context.Background(), s.Tracing(), s.ID()); err != nil {
 		return nil, err
 	}
@@ -94,6 +109,9 @@
 	if err := addRates(v); err != nil {
 		return nil, err
 	}
+	if err := addClaims(v); err != nil {
+		return nil, err
+	}
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
 	v.stopper = &stopper{
 		grace:  s.StopGrace(),
@@ -161,8 +179,11 @@
 		filterer.NewRoute(),
 		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
+		filterer.NewQuarantine(v.quarantine),
+		filterer.NewClaim(v.claims),
 		filterer.NewAdmit(v.borrower),
 		filterer.NewRetry(retrier.New(), v.timers),
+		filterer.NewCrashWatch(v.quarantine, v.transport),
 		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
 		filterer.NewForward(v.transport),
@@ -175,7 +196,21 @@
 
 // Ready reports whether the VM may get callers' requests.
 func (v *VM) Ready() bool {
-	return v.follower.Ready() && !v.stopper.Stopping()
+	return v.follower.Ready() && v.settled() && !v.stopper.Stopping()
+}
+
+// settled reports whether the VM has once held ranges, or has waited long
+// enough for it: a VM that cannot join serves by the ranges of others.
+func (v *VM) settled() bool {
+	if v.hasSettled.Load() {
+		return true
+	}
+	if v.member.ActiveCount() == 0 && v.timers.Now().Sub(v.built) < settleTimeout {
+		return false
+	}
+	v.hasSettled.Store(true)
+
+	return true
 }
 
 // Version returns the version of the manifest in force on this VM.
