--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/borrower"
+	"github.com/lagoonkeel/lagoonkeel/internal/claimer"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/follower"
@@ -21,6 +22,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
 	"github.com/lagoonkeel/lagoonkeel/internal/meter"
+	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -49,6 +51,10 @@
 	stopper *stopper
 	// transport holds the connections to targets.
 	transport *forwarder.Transport
+	// claims makes claims for requests with idempotency keys.
+	claims *claimer.Sender
+	// quarantine refuses requests that end their targets.
+	quarantine *quarantiner.Quarantiner
 	// borrower admits callers' requests by the fleet-wide rates.
 	borrower *borrower.Borrower
 	// operators serves readiness, status and metrics.
@@ -103,6 +109,9 @@
 	if err := addRates(v); err != nil {
 		return nil, err
 	}
+	if err := addClaims(v); err != nil {
+		return nil, err
+	}
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
 	v.stopper = &stopper{
 		grace:  s.StopGrace(),
@@ -170,8 +179,11 @@
 		filterer.NewRoute(),
 		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
+		filterer.NewQuarantine(v.quarantine),
+		filterer.NewClaim(v.claims),
 		filterer.NewAdmit(v.borrower),
 		filterer.NewRetry(retrier.New(), v.timers),
+		filterer.NewCrashWatch(v.quarantine, v.transport),
 		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
 		filterer.NewForward(v.transport),
--- a/internal/snapshotter/snapshotter_test.go
+++ b/internal/snapshotter/snapshotter_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/encoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/keyer"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/recorder"
@@ -155,21 +156,24 @@
 		onDuty bool
 		next   recorder.Offset
 		wrote  bool
+		first  recorder.Offset
 	}{
-		{0, true, 0, false},
-		{6 * time.Second, true, 0, false},
-		{7 * time.Second, true, 1, true},
-		{8 * time.Second, true, 2, false},
-		{10 * time.Minute, true, 256, false},
-		{11 * time.Minute, true, 257, true},
-		{25 * time.Minute, true, 257, false},
-		{26 * time.Minute, true, 257, true},
-		{27 * time.Minute, false, 900, false},
-		{28 * time.Minute, true, 900, false},
-		{28*time.Minute + 5*time.Second, true, 900, true},
+		{0, true, 0, false, 0},
+		{6 * time.Second, true, 0, false, 0},
+		{7 * time.Second, true, 1, true, 0},
+		{8 * time.Second, true, 2, false, 0},
+		{10 * time.Minute, true, 256, false, 0},
+		{11 * time.Minute, true, 257, true, 0},
+		{25 * time.Minute, true, 257, false, 0},
+		{26 * time.Minute, true, 257, true, 0},
+		{27 * time.Minute, false, 900, false, 0},
+		{28 * time.Minute, true, 900, false, 0},
+		{28*time.Minute + 5*time.Second, true, 900, true, 0},
+		{29 * time.Minute, true, 910, false, 900},
+		{30 * time.Minute, true, 910, false, 905},
 	} {
-		due := p.Due(timer.Instant(c.at), c.onDuty, c.next)
-		fmt.Fprintf(&out, "%8v on duty=%-5v next=%-3d due=%v\n", c.at, c.onDuty, c.next, due)
+		due := p.Due(timer.Instant(c.at), c.onDuty, c.first, c.next)
+		fmt.Fprintf(&out, "%8v on duty=%-5v first=%-3d next=%-3d due=%v\n", c.at, c.onDuty, c.first, c.next, due)
 		if c.wrote {
 			p.Wrote(timer.Instant(c.at), c.next)
 		}
@@ -186,6 +190,9 @@
 // State implements the state.
 func (s *source) State() (*manifester.Manifest, recorder.Offset) { return s.manifest, 9 }
 
+// First implements the state.
+func (s *source) First() recorder.Offset { return 0 }
+
 // Ready implements the state.
 func (s *source) Ready() bool { return true }
 
@@ -238,3 +245,41 @@
 		t.Errorf("a VM off duty wrote %d records", n)
 	}
 }
+
+// BenchmarkSnapshot reports the size of a snapshot and the time to write and
+// read it.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, teams := range []int{16, 1_000, 930_000} {
+		list := make([]*manifester.Team, 0, teams)
+		for i := range teams {
+			list = append(list, manifester.NewTeam(fmt.Sprintf("team-%d", i), 100, 20, 1, []string{keyer.Digest(fmt.Sprint(i))}))
+		}
+		m, err := manifester.Restore(0, nil, list, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint(teams), func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				size = 0
+				var collector snapshotter.Collector
+				for _, c := range snapshotter.Split("s", m, 1) {
+					data, err := encoder.Chunk(c)
+					if err != nil {
+						b.Fatal(err)
+					}
+					size += len(data)
+					back, err := decoder.Chunk(data)
+					if err != nil {
+						b.Fatal(err)
+					}
+					collector.Add(back)
+				}
+				if _, _, err := collector.Manifest(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
