Judge keys again before each attempt, and freeze a process whole

Cause: TestProof04Frozen saw a withdrawn key refused as over its rate. The harness went on before every thread had stopped, so the request was judged before the freeze and admitted after it. That shows a hole as well: a request judged before a freeze could be sent after it, with a key withdrawn meanwhile, if its deadline allowed. Ruled out: a stale freshness after the thaw; the clock is read at each judgement.

Change: freshness and key are judged again before each attempt, and freeze waits until each thread is stopped.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -169,6 +169,10 @@
 
 // chain builds the filter chain in the order in which decisions are made.
 func (v *VM) chain() *handler.Chain {
+	// Freshness is judged again before each attempt: a request may have waited
+	// for its turn, in a queue or in a frozen process, since it was first judged.
+	fresh := filterer.NewFresh(v.follower, v.timers)
+
 	return handler.NewChain(
 		filterer.NewTraceRequest(v.tracer),
 		filterer.NewCount(v.meter, v.timers),
@@ -177,12 +181,13 @@
 		filterer.NewAuthenticate(v.follower),
 		filterer.NewScrub(),
 		filterer.NewRoute(),
-		filterer.NewFresh(v.follower, v.timers),
+		fresh,
 		filterer.NewDeadline(),
 		filterer.NewQuarantine(v.quarantine),
 		filterer.NewClaim(v.claims),
 		filterer.NewAdmit(v.borrower),
 		filterer.NewRetry(retrier.New(), v.timers),
+		fresh,
 		filterer.NewCrashWatch(v.quarantine, v.transport),
 		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
--- a/internal/prover/harness_test.go
+++ b/internal/prover/harness_test.go
@@ -171,8 +171,33 @@
 	<-p.ended()
 }
 
-// freeze stops the process in its tracks until thaw.
-func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+// freeze stops the process in its tracks until thaw, and waits until each of
+// its threads has stopped.
+func (p *process) freeze() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	waitFor(p.t, p.name+" is frozen", p.frozen)
+}
+
+// frozen reports whether every thread is stopped.
+func (p *process) frozen() bool {
+	p.mu.Lock()
+	pid := p.cmd.Process.Pid
+	p.mu.Unlock()
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, t := range threads {
+		data, _ := os.ReadFile(t) // A thread that has ended runs no more.
+		_, state, _ := strings.Cut(string(data), ") ")
+		if !strings.HasPrefix(state, "T") && state != "" {
+			return false
+		}
+	}
+
+	return true
+}
 
 func (p *process) thaw() { p.signal(syscall.SIGCONT) }
 
