--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -9,14 +9,13 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
+	"github.com/lagoonkeel/lagoonkeel/internal/borrower"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/follower"
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
-	"github.com/lagoonkeel/lagoonkeel/internal/lister"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
@@ -38,6 +37,7 @@
 	timers   *timer.Service
 	follower *follower.Follower
 	watcher  *member.Watcher
+	member   *member.Keeper
 	server   *messenger.Server
 	pool     *messenger.Pool
 	targets  *targets
@@ -48,6 +48,8 @@
 	stopper *stopper
 	// transport holds the connections to targets.
 	transport *forwarder.Transport
+	// borrower admits callers' requests by the fleet-wide rates.
+	borrower *borrower.Borrower
 	// operators serves readiness, status and metrics.
 	operators *operators
 	// controllers run from the start to the end of the process.
@@ -79,8 +81,9 @@
 		return nil, err
 	}
 	v.follower = newFollower(s, v.timers, l)
-	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
-	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
+	if err := v.addMembership(advertised(s, open.peers)); err != nil {
+		return nil, err
+	}
 	if err := addTargets(v); err != nil {
 		return nil, err
 	}
@@ -88,18 +91,25 @@
 	if err := addConfiguration(v); err != nil {
 		return nil, err
 	}
+	if err := addRates(v); err != nil {
+		return nil, err
+	}
 	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
 	v.stopper = &stopper{
 		grace:  s.StopGrace(),
 		front:  v.listener,
 		timers: v.timers,
 		logger: l,
+		leavers: []leaver{
+			v.member,
+		},
 	}
 	v.operators = newOperators(open.operators, v)
 	v.controllers = append(v.controllers,
 		v.timers,
 		v.follower,
 		v.watcher,
+		v.member,
 		v.server,
 		v.transport,
 		v.operators,
@@ -151,7 +161,7 @@
 		filterer.NewRoute(),
 		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
-		filterer.NewAdmit(admitter.NewShare(v.members), v.timers),
+		filterer.NewAdmit(v.borrower),
 		filterer.NewRetry(retrier.New(), v.timers),
 		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
@@ -160,7 +170,7 @@
 }
 
 func (v *VM) members() int {
-	return v.watcher.View().Size()
+	return v.member.View().Size()
 }
 
 // Ready reports whether the VM may get callers' requests.
@@ -178,6 +188,11 @@
 	return v.listener.Address()
 }
 
+// Peers returns the address at which other VMs reach this one.
+func (v *VM) Peers() string {
+	return v.member.View().Self().Address()
+}
+
 // Run serves until ctx ends, then stops gracefully.
 func (v *VM) Run(ctx context.Context) error {
 	v.logger.Log(logger.Started,
