Judge the floor by one reading of who is leaving

Cause: the proof of the floor by processes found tables with 16 slots where 20 were declared and 24 could be had: a step asked twice whether a target is leaving, and the drainer's answer changed in between. The property had missed it, since its drainer changed only between steps. Ruled out: a slip of the check, which reads one table at a time. Change: each step reads it once; the property's drainer now flickers, and fails without the change. A target that says it is leaving gets nothing more at once, before the next table.

--- a/internal/ejector/controller_test.go
+++ b/internal/ejector/controller_test.go
@@ -25,10 +25,21 @@
 type fakes struct {
 	manifest *manifester.Manifest
 	leaving  map[string]bool
+	// flicker, if set, draws whether a target is leaving at every question, as
+	// if the drainer changed between any two.
+	flicker *rand.Rand
+}
+
+func (f *fakes) Manifest() *manifester.Manifest { return f.manifest }
+
+func (f *fakes) Leaving(address string) bool {
+	if f.flicker != nil && f.flicker.IntN(16) == 0 {
+		return !f.leaving[address]
+	}
+
+	return f.leaving[address]
 }
 
-func (f *fakes) Manifest() *manifester.Manifest    { return f.manifest }
-func (f *fakes) Leaving(address string) bool       { return f.leaving[address] }
 func (f *fakes) Draining(timer.Instant) []Draining { return nil }
 
 func serviceOf(targets, floor int) *manifester.Service {
@@ -115,6 +126,7 @@
 	t.Helper()
 	r := rand.New(rand.NewPCG(seed, 1))
 	f := newFakes(t, s)
+	f.flicker = r
 	recorder := NewRecorder()
 	c := New("vm-0", f, f, recorder, timer.NewManual(0), logger.Discard())
 	now := at(1)
--- a/internal/ejector/stepper.go
+++ b/internal/ejector/stepper.go
@@ -34,6 +34,9 @@
 type evidence struct {
 	own    windows
 	pooled windows
+	// leaving is read once a step: the floor must be judged by what the
+	// standings say.
+	leaving bool
 	// contested tells that the bad results blame paths.
 	contested bool
 }
@@ -46,6 +49,7 @@
 	var sums []TargetSum
 	for i, t := range list {
 		found[i] = t.gather(now, peers)
+		found[i].leaving = c.leaving(s.Targets()[i])
 		own[i], pooled[i] = found[i].own, found[i].pooled
 		if own[i].long.requests > 0 {
 			sums = append(sums, NewTargetSum(t.id, own[i].short, own[i].long))
@@ -54,11 +58,10 @@
 	ownBase, fleetBase := newBaselines(own), newBaselines(pooled)
 	candidates := make([]candidate, len(list))
 	for i, t := range list {
-		target := s.Targets()[i]
 		badness := t.judge(now, found[i], ownBase, fleetBase)
 		candidates[i] = candidate{
-			slots:   target.Slots(),
-			counted: !c.leaving(target) && !t.cold(now),
+			slots:   s.Targets()[i].Slots(),
+			counted: !found[i].leaving && !t.cold(now),
 			wanted:  t.wanted(),
 			ejected: t.grade == GradeEjected,
 			badness: badness,
@@ -256,7 +259,7 @@
 			wanted:     candidates[i].wanted,
 			trialEvery: t.trialEvery(now),
 			cold:       t.cold(now),
-			leaving:    c.leaving(s.Targets()[i]),
+			leaving:    found[i].leaving,
 			path:       t.path.grade > t.fleet.grade,
 			long:       found[i].pooled.long,
 		}
--- a/internal/picker/balancer.go
+++ b/internal/picker/balancer.go
@@ -168,8 +168,8 @@
 	if len(list) == 0 {
 		return nil, false
 	}
-	first := b.draw(list, tried, nil)
-	second := b.draw(list, tried, first)
+	first := b.draw(now, list, tried, nil)
+	second := b.draw(now, list, tried, first)
 	best := cheaper(first, second, st.typical)
 	if best != nil && best.gauge.begin(now) {
 		return best.target, true
@@ -179,10 +179,10 @@
 }
 
 // draw returns a random candidate with room, accepted by its weight, or nil.
-func (b *Balancer) draw(list []candidate, tried []string, other *candidate) *candidate {
+func (b *Balancer) draw(now timer.Instant, list []candidate, tried []string, other *candidate) *candidate {
 	for range drawAttempts {
 		c := &list[int(b.random()*float64(len(list)))%len(list)]
-		if c == other || c.gauge.full() || slices.Contains(tried, c.target.Name()) {
+		if c == other || c.gauge.full(now) || slices.Contains(tried, c.target.Name()) {
 			continue
 		}
 		if c.weight >= 1 || b.random() < c.weight {
@@ -210,7 +210,7 @@
 	lowest := 0.0
 	for i := range list {
 		c := &list[i]
-		if c.gauge.full() || slices.Contains(tried, c.target.Name()) {
+		if c.gauge.full(now) || slices.Contains(tried, c.target.Name()) {
 			continue
 		}
 		if cost := c.gauge.cost(st.typical) / c.weight; best == nil || cost < lowest {
--- a/internal/picker/gauge.go
+++ b/internal/picker/gauge.go
@@ -15,6 +15,9 @@
 	// failurePenalty times the typical time is what a failure counts as, so
 	// that a target that fails fast draws no work.
 	failurePenalty = 8
+	// shutTime is how long a target that said that it is leaving gets nothing by
+	// this VM's own picture; by then the tables know.
+	shutTime = 2 * time.Second
 	// idleDecay is what each rebuild leaves of the distance between the average
 	// and the service's typical time, so that a target that once was slow is
 	// tried again.
@@ -28,18 +31,21 @@
 	limit   limit
 	// latency is the moving average in nanoseconds; 0 before the first answer.
 	latency atomic.Int64
+	// shutUntil is the instant up to which the target gets nothing, because it
+	// said that it is leaving and the next table does not show it yet.
+	shutUntil atomic.Int64
 	// nextTrial is the instant of the next trial request while ejected.
 	nextTrial atomic.Int64
 }
 
-// full reports whether the in-flight bound leaves no room.
-func (g *gauge) full() bool {
-	return float64(g.samples.InFlight()) >= math.Floor(g.limit.value())
+// full reports whether the target can take no more at the instant.
+func (g *gauge) full(now timer.Instant) bool {
+	return int64(now) < g.shutUntil.Load() || float64(g.samples.InFlight()) >= math.Floor(g.limit.value())
 }
 
 // begin counts an attempt unless the bound leaves no room.
 func (g *gauge) begin(now timer.Instant) bool {
-	if g.full() {
+	if g.full(now) {
 		return false
 	}
 	g.samples.Begin(now) // A race of two may exceed the bound by one.
@@ -79,7 +85,9 @@
 		return pressureHigh
 	case ejector.ResultTimeout, ejector.ResultFailed, ejector.ResultConnect:
 		g.observe(max(o.Took(), failurePenalty*st.typical))
-	case ejector.ResultDraining, ejector.ResultNone:
+	case ejector.ResultDraining:
+		g.shutUntil.Store(int64(now.Add(shutTime)))
+	case ejector.ResultNone:
 	}
 
 	return pressureUnknown
