Prove at most once, true refusals and whole answers with processes

Cause: the claims, the retries and the forwarder were shown by fakes only.

Change: stand-in targets cut, double and reset answers, crash on a marked request, and print each run so that the record outlasts a kill.

--- a/internal/commander/cmd_standin.go
+++ b/internal/commander/cmd_standin.go
@@ -39,6 +39,7 @@
 		listenFlag(c)
 		c.Flags().String("name", "upstream", "name that the target puts into its answers")
 		c.Flags().Int("slots", standin.DefaultSlots, "requests that the target runs at once")
+		c.Flags().Bool("print-runs", false, "print a line for each request that ran")
 	},
 	action: func(ctx context.Context, c *cobra.Command, _ []string) error {
 		name, err := c.Flags().GetString("name")
@@ -50,7 +51,12 @@
 			return usage(errors.Wrap(err, "reading --slots"))
 		}
 
-		return runStandin(ctx, c, standin.NewUpstream(name, slots).Handler())
+		u := standin.NewUpstream(name, slots)
+		if c.Flags().Changed("print-runs") {
+			u.PrintRuns(os.Stdout)
+		}
+
+		return runStandin(ctx, c, u.Handler())
 	},
 }
 
--- a/internal/prover/fleet_test.go
+++ b/internal/prover/fleet_test.go
@@ -104,7 +104,7 @@
 		name:    name,
 		address: freeAddress(f.t),
 	}
-	u.process = startProcess(f.t, name, "lagoonkeel-standin", "upstream", "--listen", u.address, "--name", name)
+	u.process = startProcess(f.t, name, "lagoonkeel-standin", "upstream", "--listen", u.address, "--name", name, "--print-runs")
 	waitFor(f.t, name+" answers", func() bool {
 		var v any
 
--- /dev/null
+++ b/internal/prover/proof06_test.go
@@ -0,0 +1,73 @@
+package prover
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/standin"
+)
+
+// TestProof06WholeAnswers has many callers check that each gets the whole
+// answer to its own request, while targets answer late, cut, double and reset.
+func TestProof06WholeAnswers(t *testing.T) {
+	f := startFleet(t, fleetSpec{
+		vms: 2,
+		upstreams: map[string]int{
+			"bookings":  3,
+			"fieldbook": 3,
+		},
+	})
+	f.mustPublish(manyManifest(f))
+	f.ready()
+	f.admitted()
+	for _, service := range []string{"bookings", "fieldbook"} {
+		for _, u := range f.targets[service] {
+			u.faults(t, standin.UpstreamFaults{
+				SlowShare: 0.1, SlowMs: 120,
+				CutShare: 0.1, DoubleShare: 0.1, ResetShare: 0.05,
+			})
+		}
+	}
+	c := newClient(t)
+	c.Timeout = 10 * time.Second
+	const requests = 2000
+	answers := calls(24, requests, func(i int) (string, answer) {
+		token := fmt.Sprintf("six-%d", i)
+		r := request{path: "/species/" + token, key: guidesKey, token: token}
+		if i%3 == 0 {
+			r.method = http.MethodPost
+			r.path = "/bookings/" + token
+		}
+		if i%5 == 0 { // The upstream's work is cut short by the caller's deadline.
+			r.fields = []string{"Lagoonkeel-Timeout-Ms", "40"}
+		}
+
+		return token, send(c, f.vms[i%2].callers, r)
+	})
+	whole, refused, wrong := 0, 0, 0
+	for token, a := range answers {
+		switch {
+		case a.err != nil:
+			t.Errorf("%s got no answer: %v", token, a.err)
+		case a.outcome != "":
+			refused++
+		case a.fields.Get("Test-Token") != token || !strings.Contains(a.body, fmt.Sprintf("%q", token)):
+			wrong++
+			t.Errorf("%s got the answer %q", token, a.body)
+		default:
+			whole++
+		}
+	}
+	t.Logf("%d whole answers, %d refusals", whole, refused)
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "every request was answered or refused: %v\n", whole+refused == requests)
+	fmt.Fprintf(&out, "answers that were cut or another request's: %d\n", wrong)
+	fmt.Fprintf(&out, "both answers and refusals came: %v\n", whole > 0 && refused > 0)
+	goldie.New(t).Assert(t, "proof06", out.Bytes())
+}
--- /dev/null
+++ b/internal/prover/proof08_test.go
@@ -0,0 +1,162 @@
+package prover
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/standin"
+)
+
+// TestProof08AtMostOnce has callers repeat bookings at several VMs while VMs
+// and targets are killed and the log loses answers or is down. By the targets'
+// records no booking ran more than once.
+func TestProof08AtMostOnce(t *testing.T) {
+	f := startFleet(t, fleetSpec{
+		vms: 4,
+		upstreams: map[string]int{
+			"bookings":  4,
+			"fieldbook": 1,
+		},
+	})
+	f.mustPublish(manyManifest(f))
+	f.ready()
+	f.admitted()
+	for _, u := range f.targets["bookings"] {
+		u.faults(t, standin.UpstreamFaults{SlowShare: 0.2, SlowMs: 150, ResetShare: 0.1, CutShare: 0.05})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var chaos sync.WaitGroup
+	chaos.Go(func() { f.trouble(ctx) })
+	c := newClient(t)
+	c.Timeout = 6 * time.Second
+	var mu sync.Mutex
+	verdicts := map[string]int{}
+	end := time.Now().Add(20 * time.Second)
+	var wg sync.WaitGroup
+	for w := range 12 {
+		wg.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				verdict := f.bookOnce(c, w, n)
+				mu.Lock()
+				verdicts[verdict]++
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	cancel()
+	chaos.Wait()
+	largest, tokens := most(t, f.printedRuns("bookings"))
+	t.Logf("%d bookings ran; the callers' last words: %v", tokens, verdicts)
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "bookings ran: %v\n", tokens > 0)
+	fmt.Fprintf(&out, "most runs of one booking: %d\n", largest)
+	goldie.New(t).Assert(t, "proof08", out.Bytes())
+}
+
+// bookOnce makes one booking and returns the last answer. Two thirds carry an
+// idempotency key and are repeated, at another VM each time and sometimes at
+// two at once, until there is an answer of an upstream; the others are sent
+// once.
+func (f *fleet) bookOnce(c *http.Client, worker, n int) string {
+	token := fmt.Sprintf("eight-%d-%d", worker, n)
+	r := request{method: http.MethodPost, path: "/bookings/" + token, key: guidesKey, token: token}
+	if n%3 == 0 {
+		return "without key: " + send(c, f.vms[n%len(f.vms)].callers, r).String()
+	}
+	r.fields = []string{"Idempotency-Key", token, "Lagoonkeel-Timeout-Ms", "2000"}
+	last := ""
+	for try := range 5 {
+		if try == 1 {
+			var wg sync.WaitGroup
+			wg.Go(func() { send(c, f.vms[(worker+n+2)%len(f.vms)].callers, r) })
+			defer wg.Wait()
+		}
+		a := send(c, f.vms[(worker+n+try)%len(f.vms)].callers, r)
+		last = a.String()
+		if a.err == nil && a.outcome == "" {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+
+	return "with key: " + last
+}
+
+// trouble kills VMs and targets in turn and disturbs the log until ctx ends.
+func (f *fleet) trouble(ctx context.Context) {
+	pause := func(d time.Duration) bool {
+		select {
+		case <-time.After(d):
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	for n := 0; pause(300 * time.Millisecond); n++ {
+		f.logFaults(standin.LogFaults{LoseAnswers: 3})
+		v := f.vms[n%len(f.vms)]
+		v.kill()
+		up := f.targets["bookings"][n%4]
+		up.kill()
+		pause(400 * time.Millisecond)
+		up.start()
+		v.start()
+		pause(2 * time.Second)
+		f.logFaults(standin.LogFaults{Down: true})
+		pause(time.Second)
+		w := f.vms[(n+1)%len(f.vms)]
+		w.kill()
+		pause(time.Second)
+		f.logFaults(standin.LogFaults{})
+		w.start()
+		pause(1500 * time.Millisecond)
+	}
+}
+
+// TestProof08CrashingRequest checks that a request which ends each target that
+// runs it ends at most two in the whole fleet, however often it is sent.
+func TestProof08CrashingRequest(t *testing.T) {
+	f := startFleet(t, fleetSpec{
+		vms: 3,
+		upstreams: map[string]int{
+			"bookings":  5,
+			"fieldbook": 5,
+		},
+	})
+	f.mustPublish(manyManifest(f))
+	f.ready()
+	f.admitted()
+	c := newClient(t)
+	var out bytes.Buffer
+	for _, s := range []struct{ service, method, path string }{
+		{"bookings", http.MethodPost, "/bookings/poison"},
+		{"fieldbook", http.MethodGet, "/species/poison"},
+	} {
+		var last answer
+		for i := range 9 {
+			last = send(c, f.vms[i%3].callers, request{
+				method: s.method, path: s.path, key: guidesKey, token: s.service,
+				fields: []string{standin.CrashField, "yes"}, body: "poison",
+			})
+		}
+		lost := 0
+		for _, u := range f.targets[s.service] {
+			select {
+			case <-u.ended():
+				lost++
+			default:
+			}
+		}
+		other := send(c, f.vms[0].callers, request{method: s.method, path: s.path + "/other", key: guidesKey})
+		fmt.Fprintf(&out, "%s: targets lost %d, last told %v, another request %v\n", s.service, lost, last, other)
+	}
+	goldie.New(t).Assert(t, "proof08_crash", out.Bytes())
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -31,6 +31,11 @@
 	Hang bool `json:"hang"`
 	// Drain refuses new requests and says so.
 	Drain bool `json:"drain"`
+	// CutShare, DoubleShare and ResetShare of the answers end early, come
+	// twice, or do not come because the connection is reset.
+	CutShare    float64 `json:"cutShare"`
+	DoubleShare float64 `json:"doubleShare"`
+	ResetShare  float64 `json:"resetShare"`
 }
 
 // Run is the record of one request that a target ran.
@@ -54,6 +59,8 @@
 	waiting int
 	faults  UpstreamFaults
 	runs    []Run
+	// journal gets a line for each run; nil without one.
+	journal io.Writer
 }
 
 // NewUpstream returns a target with the given slots.
@@ -123,6 +130,7 @@
 	u.leave()
 	defer func() { <-u.slots }()
 	u.record(r)
+	crash(r)
 	u.work(w, r, f, body)
 }
 
@@ -147,6 +155,7 @@
 func (u *Upstream) record(r *http.Request) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.print(r.Header.Get("Test-Token"))
 	u.runs = append(u.runs, Run{
 		Method:   r.Method,
 		Path:     r.URL.RequestURI(),
@@ -179,6 +188,9 @@
 
 		return
 	}
+	if u.spoil(w, r, f) {
+		return
+	}
 	w.Header().Set("Test-Target", u.name)
 	w.Header().Set("Test-Token", r.Header.Get("Test-Token"))
 	writeJSON(w, echoJSON{
