--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -88,13 +88,22 @@
 		s.latency.Record(a.FirstByte())
 	}
 	again := attempts < maxAttempts && deadline.Sub(now) >= leastLeft && repeatable(idempotent, a)
-	if again && !free(a) && (reserved || s.budget.Withdraw(now)) {
-		return VerdictAgain
+	if again && !free(a) {
+		return pay(s.budget, now, reserved)
 	}
 	if reserved {
 		s.budget.Refund()
 	}
-	if again && free(a) {
+	if again {
+		return VerdictAgain
+	}
+
+	return VerdictKeep
+}
+
+// pay uses the reserved retry, or one of the budget.
+func pay(b *Budget, now timer.Instant, reserved bool) Verdict {
+	if reserved || b.Withdraw(now) {
 		return VerdictAgain
 	}
 
