--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 
 model: ## Model-check the core protocol (needs spin and gcc; about a minute and a half).
 	bash model/check.sh
+	bash model/claims.sh
 
 measure: ## Measure the policies; writes JSON files below measure/.
 	mkdir -p measure
