Cancel a request whose caller has gone

Cause: the upstream went on with requests that nobody waited for.

Ruled out: polling the connection; watching it through a read, which would take bytes of a next request.

Change: the listener waits, without taking a byte, for the end of the caller's connection while the chain works, and ends the request's context then. A claimed request goes on, so that its answer is there for the repeat.

--- a/internal/filterer/claim.go
+++ b/internal/filterer/claim.go
@@ -60,7 +60,9 @@
 	if decision.Verdict() != claimer.VerdictGranted {
 		return repeat(x, decision)
 	}
-	err := next.Serve(ctx, x)
+	// A claimed request goes on when its caller goes away, so that there is an
+	// answer to keep for the repeat.
+	err := next.Serve(context.WithoutCancel(ctx), x)
 	var r *handler.Refusal
 	switch {
 	case err == nil:
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -118,7 +118,10 @@
 		c.SetConnectionClose()
 	}
 	x := handler.NewExchange(request(c), l.clock.Now())
-	if err := l.chain.Serve(l.base, x); err != nil {
+	ctx, w := watch(l.base, c.Conn())
+	err := l.chain.Serve(ctx, x)
+	w.stop()
+	if err != nil {
 		l.refuse(c, err)
 
 		return
