Let requests go on to upstreams in a fair order

Admitted requests went straight to the picker, so one team's backlog delayed every other team and a booking waited behind browsing. The queue bounds what a VM sends to a service and in all, orders classes with a kept share of 1 in 16 for each lesser one, shares by start-time fair queueing between teams inside a class and refuses early what would miss its deadline.

Checked: golden transcripts of the order, and 200 concurrent requests at a bound of 4 under the race detector. Not measured yet.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -157,6 +157,7 @@
 		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
 		filterer.NewAdmit(v.borrower),
+		filterer.NewQueue(newQueue(v)),
 		filterer.NewRetry(retrier.New(), v.timers),
 		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
--- /dev/null
+++ b/internal/queuer/scheduler_test.go
@@ -0,0 +1,190 @@
+package queuer_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"go.uber.org/goleak"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+func service(name string, class manifester.Class) *manifester.Service {
+	return manifester.NewService(name, class, 0, []*manifester.Target{manifester.NewTarget(manifester.TargetSpec{
+		Name:  "t1",
+		Slots: 4,
+	})})
+}
+
+func team(name string, weight float64) *manifester.Team {
+	return manifester.NewTeam(name, 1, 1, weight, nil)
+}
+
+// script drives a scheduler and writes down the verdicts.
+type script struct {
+	scheduler *queuer.Scheduler
+	now       timer.Instant
+	bound     int
+	total     int
+	tickets   []*queuer.Ticket
+	names     []string
+	running   []int
+	out       strings.Builder
+}
+
+func newScript(bound, total int) *script {
+	return &script{
+		scheduler: queuer.NewScheduler(),
+		bound:     bound,
+		total:     total,
+	}
+}
+
+func (s *script) enter(n int, class manifester.Class, t *manifester.Team, timeout time.Duration) {
+	for range n {
+		k := queuer.NewTicket(service(string(class), class), t, s.now.Add(timeout))
+		s.tickets = append(s.tickets, k)
+		s.names = append(s.names, fmt.Sprintf("%s/%s#%d", class, t.Name(), len(s.tickets)))
+		s.scheduler.Enter(s.now, k, s.bound, s.total)
+	}
+	s.collect()
+}
+
+// leave ends the n requests that started first, each after the time.
+func (s *script) leave(n int, after time.Duration) {
+	for range n {
+		if len(s.running) == 0 {
+			return
+		}
+		s.now = s.now.Add(after)
+		i := s.running[0]
+		s.running = s.running[1:]
+		fmt.Fprintf(&s.out, "%v ends %s\n", time.Duration(s.now), s.names[i])
+		s.scheduler.Leave(s.now, s.tickets[i])
+		s.collect()
+	}
+}
+
+func (s *script) collect() {
+	for i, k := range s.tickets {
+		select {
+		case v := <-k.Verdict():
+			fmt.Fprintf(&s.out, "%v %s started=%v %s wait %v\n", time.Duration(s.now), s.names[i], v.Started(), v.Reason(), v.Wait())
+			if v.Started() {
+				s.running = append(s.running, i)
+			}
+		default:
+		}
+	}
+}
+
+// TestScheduler compares the order of starts with the golden transcripts.
+func TestScheduler(t *testing.T) {
+	light, heavy := team("light", 1), team("heavy", 2)
+	for _, c := range []struct {
+		name string
+		run  func() *script
+	}{
+		{"teams", func() *script {
+			s := newScript(1, 8)
+			s.enter(6, manifester.ClassLookup, light, time.Minute)
+			s.enter(6, manifester.ClassLookup, heavy, time.Minute)
+			s.leave(12, 10*time.Millisecond)
+
+			return s
+		}},
+		{"classes", func() *script {
+			s := newScript(8, 1)
+			s.enter(2, manifester.ClassBrowsing, light, time.Minute)
+			s.enter(2, manifester.ClassLookup, light, time.Minute)
+			s.enter(20, manifester.ClassBooking, light, time.Minute)
+			s.leave(24, 10*time.Millisecond)
+
+			return s
+		}},
+		{"deadlines", func() *script {
+			s := newScript(1, 8)
+			s.enter(1, manifester.ClassLookup, light, time.Minute)
+			s.leave(1, 100*time.Millisecond)
+			s.enter(3, manifester.ClassLookup, light, 250*time.Millisecond)
+			s.enter(1, manifester.ClassLookup, heavy, 250*time.Millisecond)
+			s.leave(1, 170*time.Millisecond)
+			s.leave(1, 100*time.Millisecond)
+
+			return s
+		}},
+		{"full", func() *script {
+			s := newScript(1, 8)
+			s.enter(33, manifester.ClassLookup, light, time.Minute)
+			s.enter(2, manifester.ClassLookup, heavy, time.Minute)
+			s.enter(1, manifester.ClassLookup, light, time.Minute)
+			s.leave(3, 10*time.Millisecond)
+
+			return s
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			goldie.New(t).Assert(t, c.name, []byte(c.run().out.String()))
+		})
+	}
+}
+
+// bounds is a fixed capacity.
+type bounds struct {
+	service int
+	total   int
+}
+
+func (b bounds) Service(*manifester.Service) int { return b.service }
+func (b bounds) Total() int                      { return b.total }
+
+// TestQueuerConcurrent sends requests from many goroutines and checks that the
+// bound holds and that every request ends.
+func TestQueuerConcurrent(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	timers := timer.NewService()
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- timers.Run(ctx) }()
+	const bound = 4
+	q := queuer.New(timers, bounds{service: bound, total: 100})
+	s := service("fieldbook", manifester.ClassLookup)
+	var running, most, started, refused atomic.Int64
+	var all sync.WaitGroup
+	for i := range 200 {
+		all.Go(func() {
+			k, v := q.Enter(ctx, s, team(fmt.Sprint(i%7), 1), timers.Now().Add(100*time.Millisecond))
+			if !v.Started() {
+				refused.Add(1)
+
+				return
+			}
+			started.Add(1)
+			if n := running.Add(1); n > most.Load() {
+				most.Store(n)
+			}
+			<-timers.After(10 * time.Millisecond).Due()
+			running.Add(-1)
+			q.Leave(k)
+		})
+	}
+	all.Wait()
+	cancel()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if most.Load() > bound || started.Load() == 0 || refused.Load() == 0 {
+		t.Errorf("%d ran at once, %d started, %d were refused; want at most %d, some and some", most.Load(), started.Load(), refused.Load(), bound)
+	}
+	if n := q.Waiting(s.Name()); n != 0 {
+		t.Errorf("%d requests still wait", n)
+	}
+}
