--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -16,7 +16,6 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
-	"github.com/lagoonkeel/lagoonkeel/internal/lister"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
@@ -38,6 +37,7 @@
 	timers   *timer.Service
 	follower *follower.Follower
 	watcher  *member.Watcher
+	member   *member.Keeper
 	server   *messenger.Server
 	pool     *messenger.Pool
 	targets  *targets
@@ -81,8 +81,9 @@
 		return nil, err
 	}
 	v.follower = newFollower(s, v.timers, l)
-	self := member.NewVM(member.ID(s.ID()), 0, advertised(s, open.peers), s.DataCentre())
-	v.watcher = member.NewWatcher(self, lister.NewClient(s.ListBase()), v.timers, l)
+	if err := v.addMembership(advertised(s, open.peers)); err != nil {
+		return nil, err
+	}
 	if err := addTargets(v); err != nil {
 		return nil, err
 	}
@@ -99,12 +100,16 @@
 		front:  v.listener,
 		timers: v.timers,
 		logger: l,
+		leavers: []leaver{
+			v.member,
+		},
 	}
 	v.operators = newOperators(open.operators, v)
 	v.controllers = append(v.controllers,
 		v.timers,
 		v.follower,
 		v.watcher,
+		v.member,
 		v.server,
 		v.transport,
 		v.operators,
@@ -166,7 +171,7 @@
 }
 
 func (v *VM) members() int {
-	return v.watcher.View().Size()
+	return v.member.View().Size()
 }
 
 // Ready reports whether the VM may get callers' requests.
@@ -186,7 +191,7 @@
 
 // Peers returns the address at which other VMs reach this one.
 func (v *VM) Peers() string {
-	return v.watcher.View().Self().Address()
+	return v.member.View().Self().Address()
 }
 
 // Run serves until ctx ends, then stops gracefully.
--- a/internal/assembler/operators.go
+++ b/internal/assembler/operators.go
@@ -80,9 +80,13 @@
 	// Next is the offset of the next record of the configuration stream.
 	Next int64 `json:"next"`
 	// Fresh tells whether the VM may decide keyed requests.
-	Fresh   bool   `json:"fresh"`
-	Members int    `json:"members"`
-	Time    string `json:"time"`
+	Fresh   bool `json:"fresh"`
+	Members int  `json:"members"`
+	// Epoch is the number of the membership's epoch.
+	Epoch uint64 `json:"epoch"`
+	// Ranges is the number of ranges that the VM holds now.
+	Ranges int    `json:"ranges"`
+	Time   string `json:"time"`
 }
 
 func (o *operators) status(w http.ResponseWriter, _ *http.Request) {
@@ -94,6 +98,8 @@
 		Next:    int64(o.vm.follower.Position().Next()),
 		Fresh:   o.vm.timers.Now().Before(o.vm.follower.FreshUntil()),
 		Members: o.vm.members(),
+		Epoch:   o.vm.member.View().Epoch(),
+		Ranges:  o.vm.member.ActiveCount(),
 		Time:    time.Now().UTC().Format(time.RFC3339Nano),
 	})
 }
--- a/internal/assembler/targets.go
+++ b/internal/assembler/targets.go
@@ -25,8 +25,8 @@
 		drainer: drainer.New(v.watcher, v.timers, v.logger),
 	}
 	t.ejector = ejector.New(v.settings.ID(), v.follower, t.drainer, recorder, v.timers, v.logger)
-	t.exchanger = ejector.NewExchanger(t.ejector, t.drainer, messenger.NewEvidenceClient(v.pool), v.watcher, v.timers)
-	t.balancer = picker.New(v.follower, t.ejector, v.watcher, recorder, v.timers, nil)
+	t.exchanger = ejector.NewExchanger(t.ejector, t.drainer, messenger.NewEvidenceClient(v.pool), v.member, v.timers)
+	t.balancer = picker.New(v.follower, t.ejector, v.member, recorder, v.timers, nil)
 	v.targets = t
 	v.controllers = append(v.controllers, t.drainer, t.ejector, t.exchanger, t.balancer)
 
