--- a/internal/queuer/class.go
+++ b/internal/queuer/class.go
@@ -22,7 +22,7 @@
 }
 
 func newClasses() []*class {
-	var all []*class
+	all := make([]*class, 0, len(manifester.Classes()))
 	for _, c := range manifester.Classes() {
 		all = append(all, &class{
 			name:   c,
