Wait for holders anew once every slot has one

The wait now counts from when the slot was last seen without a holder. A VM is ready once half of a sample of ranges has a holder, and a rate that no holder decides is refused as rate-unknown with 503, not as 429.

Calls: a slot that gave fewer spare tokens than wished was asked again at once, round trip after round trip. It now rests, and longer each time in a row while it has none.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LOCAL := github.com/lagoonkeel/lagoonkeel
 GO_DIRS := cmd internal pkg
 
-.PHONY: help build test format lint vet tools demo demo-processes model fuzz-seeds measure generate ci
+.PHONY: help build test format lint vet tools demo demo-processes model fuzz-seeds measure measure-rates generate ci
 
 help: ## List the targets.
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -31,6 +31,12 @@
 demo-processes: build ## Show the whole path with separate processes.
 	bash scripts/demo-processes.sh
 
+measure: measure-rates ## Run every measurement.
+
+measure-rates: ## Measure the rates across the fleet and the fair queue.
+	go test -run '^$$' -bench 'MeasureRates|MeasureQueue' -benchtime 1x ./internal/borrower ./internal/queuer
+	go test -run '^$$' -bench MeasureRateMessage -benchtime 20000x ./internal/messenger
+
 vet: ## Run go vet.
 	go vet ./...
 
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -50,6 +50,47 @@
 	Now() timer.Instant
 }
 
+// Verdict is the decision on one request.
+type Verdict struct {
+	admitted bool
+	// holderless is set where the rate could not be decided, because no holder
+	// of it was reached.
+	holderless bool
+	// wait is the time after which another try may pass; 0 where admitted.
+	wait time.Duration
+}
+
+// Admitted returns the verdict on a request within the rate.
+func Admitted() Verdict {
+	return Verdict{
+		admitted: true,
+	}
+}
+
+// Refused returns the verdict on a request over the rate.
+func Refused(wait time.Duration) Verdict {
+	return Verdict{
+		wait: wait,
+	}
+}
+
+// Undecided returns the verdict on a request whose rate could not be decided.
+func Undecided(wait time.Duration) Verdict {
+	return Verdict{
+		holderless: true,
+		wait:       wait,
+	}
+}
+
+// Admitted reports whether the request is within the rate.
+func (v Verdict) Admitted() bool { return v.admitted }
+
+// Holderless reports whether no holder of the rate was reached.
+func (v Verdict) Holderless() bool { return v.holderless }
+
+// Wait returns the time after which another try may pass.
+func (v Verdict) Wait() time.Duration { return v.wait }
+
 // Share admits a fixed part of each team's rate on this VM alone. It is the
 // baseline that fleet-wide admission is measured against.
 type Share struct {
@@ -70,7 +111,7 @@
 }
 
 // Admit takes one request of the team's rate.
-func (s *Share) Admit(_ context.Context, _ timer.Instant, team *manifester.Team) (admitted bool, wait time.Duration) {
+func (s *Share) Admit(_ context.Context, _ timer.Instant, team *manifester.Team) Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
@@ -83,5 +124,9 @@
 	b.rate = team.Rate() / n
 	b.burst = max(1, team.Burst()/n)
 
-	return b.Take(now, 1)
+	if taken, wait := b.Take(now, 1); !taken {
+		return Refused(wait)
+	}
+
+	return Admitted()
 }
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -176,7 +176,7 @@
 
 // Ready reports whether the VM may get callers' requests.
 func (v *VM) Ready() bool {
-	return v.follower.Ready() && !v.stopper.Stopping()
+	return v.follower.Ready() && v.borrower.Ready() && !v.stopper.Stopping()
 }
 
 // Version returns the version of the manifest in force on this VM.
--- a/internal/assembler/operators.go
+++ b/internal/assembler/operators.go
@@ -31,6 +31,7 @@
 	mux.HandleFunc("GET /live", o.live)
 	mux.HandleFunc("GET /status", o.status)
 	mux.HandleFunc("GET /targets", o.serveTargets)
+	mux.HandleFunc("GET /rates", o.serveRates)
 	mux.HandleFunc("GET /metrics", o.metrics)
 	o.server = &http.Server{
 		Handler:           mux,
--- a/internal/assembler/path_test.go
+++ b/internal/assembler/path_test.go
@@ -98,6 +98,7 @@
 	vm := startVM(t, logBase, listBase)
 	publishManifest(t, logBase, target)
 	waitFor(t, "the manifest is in force", func() bool { return vm.Version() == 0 })
+	waitFor(t, "the VM is ready", vm.Ready)
 
 	var out bytes.Buffer
 	for _, c := range []struct{ method, path, key string }{
--- a/internal/assembler/rates.go
+++ b/internal/assembler/rates.go
@@ -1,6 +1,9 @@
 package assembler
 
 import (
+	"encoding/json"
+	"net/http"
+
 	"github.com/lagoonkeel/lagoonkeel/internal/borrower"
 	"github.com/lagoonkeel/lagoonkeel/internal/granter"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
@@ -20,3 +23,34 @@
 
 	return nil
 }
+
+// slotJSON tells who grants one slot of a team's rate.
+type slotJSON struct {
+	Slot int `json:"slot"`
+	// Holder is the VM that should hold the slot, as this VM sees it.
+	Holder string `json:"holder"`
+	// Active tells whether this VM grants the slot now.
+	Active bool `json:"active"`
+}
+
+// serveRates answers with the slots of the team that the query names.
+func (o *operators) serveRates(w http.ResponseWriter, r *http.Request) {
+	team, ok := o.vm.follower.Manifest().Team(r.URL.Query().Get("team"))
+	if !ok {
+		http.Error(w, "no such team; name one with ?team=", http.StatusNotFound)
+
+		return
+	}
+	slots := make([]slotJSON, granter.PlanOf(team).Slots())
+	for i := range slots {
+		at := granter.SlotRange(team.Name(), i)
+		_, active := o.vm.member.Active(at)
+		slots[i] = slotJSON{
+			Slot:   i,
+			Holder: string(o.vm.member.View().Holder(at).ID()),
+			Active: active,
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(slots) // The operator may have gone.
+}
--- a/internal/borrower/account.go
+++ b/internal/borrower/account.go
@@ -16,7 +16,10 @@
 	// emptyPause and emptyPauseMax bound the pause before a holder without
 	// tokens is asked again.
 	emptyPause    = 10 * time.Millisecond
-	emptyPauseMax = 250 * time.Millisecond
+	emptyPauseMax = 150 * time.Millisecond
+	// scarcePause is the pause before a holder that gave fewer spare tokens
+	// than wished is asked for spare ones alone.
+	scarcePause = 100 * time.Millisecond
 	// holderPause is the pause after a VM said that it is not the holder.
 	holderPause = 50 * time.Millisecond
 	// failurePause is the pause after a call failed.
@@ -60,6 +63,8 @@
 	// waiters are in the order of arrival.
 	waiters []*Waiter
 	demand  demand
+	// unsettled is when a slot without a holder was last seen.
+	unsettled timer.Instant
 }
 
 // NewAccount returns an account without tokens.
@@ -165,14 +170,19 @@
 	s.asking = false
 	s.holderless = r.State() != granter.StateGranted
 	if s.holderless {
+		a.unsettled = now
 		s.silent = now.Add(holderPause)
 
 		return
 	}
+	if r.Tokens() < o.needed+o.spare {
+		s.scarce = now.Add(scarcePause)
+	}
 	if r.Tokens() < o.needed {
-		s.silent = now.Add(min(emptyPauseMax, max(emptyPause, r.Wait())))
+		s.rest(now, r.Wait())
 	}
 	if r.Tokens() > 0 {
+		s.pause = 0
 		s.lots = append(s.lots, lot{
 			tokens:  r.Tokens(),
 			expires: o.asked.Add(r.Lifetime()),
@@ -188,6 +198,7 @@
 	s := &a.slots[o.slot]
 	s.asking = false
 	s.holderless = true
+	a.unsettled = now
 	s.silent = now.Add(failurePause)
 }
 
@@ -269,7 +280,7 @@
 		if s.asking && now.Sub(s.asked) < hedgeDelay {
 			return Order{}, false
 		}
-		if s.asking || s.silent.After(now) {
+		if s.asking || s.silent.After(now) || needed == 0 && s.scarce.After(now) {
 			continue
 		}
 		s.asking = true
@@ -316,7 +327,8 @@
 		expected := retry.Add(a.pace(i))
 		if !limit.After(now) || pausing && expected.After(limit) {
 			w.verdict <- Verdict{
-				wait: max(a.pace(1), expected.Sub(now)),
+				holderless: a.holderless(),
+				wait:       max(a.pace(1), expected.Sub(now)),
 			}
 
 			continue
@@ -344,13 +356,23 @@
 	return max(now, first)
 }
 
-// limit returns when a wait ends at the latest.
+// limit returns when a wait ends at the latest. New holders start without
+// tokens, so the wait for tokens begins anew once every slot has a holder.
 func (a *Account) limit(w *Waiter) timer.Instant {
+	if a.holderless() {
+		return min(w.until, w.since.Add(holderWait))
+	}
+
+	return min(w.until, max(w.since, a.unsettled).Add(emptyWait))
+}
+
+// holderless reports whether a slot has no holder, as far as is known.
+func (a *Account) holderless() bool {
 	for i := range a.slots {
 		if a.slots[i].holderless {
-			return min(w.until, w.since.Add(holderWait))
+			return true
 		}
 	}
 
-	return min(w.until, w.since.Add(emptyWait))
+	return false
 }
--- a/internal/borrower/borrower.go
+++ b/internal/borrower/borrower.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
 	"github.com/lagoonkeel/lagoonkeel/internal/granter"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -21,11 +22,20 @@
 	// deadlineShare is the part of a request's remaining time that it may
 	// spend waiting for a token.
 	deadlineShare = 0.5
+	// findPeriod is the time between two looks for active holders after the
+	// start, and findTime the longest time for which they go on.
+	findPeriod = 100 * time.Millisecond
+	findTime   = 10 * time.Second
+	// findSample is the number of ranges looked at, and findEnough how many of
+	// them must have an active holder.
+	findSample = 16
+	findEnough = 8
 )
 
 type clock interface {
 	Now() timer.Instant
 	After(d time.Duration) *timer.Subscription
+	Every(d time.Duration) *timer.Subscription
 }
 
 type viewSource interface {
@@ -52,6 +62,7 @@
 	// ended is closed when no request can wait any more.
 	ended chan struct{}
 	calls atomic.Int64
+	ready atomic.Bool
 }
 
 // ledger is one team's account and what it was built from.
@@ -83,26 +94,70 @@
 // Name returns the controller's name.
 func (b *Borrower) Name() string { return "borrower" }
 
-// Run waits for ctx to end and then for the calls on their way. No request may
-// be admitted after ctx ended.
+// Run looks for active holders until there are some, waits for ctx to end, and
+// then for the calls on their way. No request may be admitted after ctx ended.
 func (b *Borrower) Run(ctx context.Context) error {
+	b.find(ctx)
 	<-ctx.Done()
 	close(b.ended)
 
 	return b.tasks.Wait() //nolint:wrapcheck // The tasks return no errors.
 }
 
+// Ready reports whether half of a sample of ranges once had an active holder: in a
+// fleet that has just started, no rate can be decided before.
+func (b *Borrower) Ready() bool { return b.ready.Load() }
+
+// find asks a sample of the ranges until half have an active holder, or for
+// the longest time that the VM may be kept from being ready.
+func (b *Borrower) find(ctx context.Context) {
+	tick := b.clock.Every(findPeriod)
+	defer tick.Stop()
+	for end := b.clock.Now().Add(findTime); b.clock.Now().Before(end) && !b.found(ctx); {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.Due():
+		}
+	}
+	b.ready.Store(true)
+}
+
+// found reports whether half of the sample have an active holder. A
+// holder answers that it does not know the slots of a team without a name.
+func (b *Borrower) found(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var active atomic.Int64
+	var asks errgroup.Group
+	for i := range findSample {
+		asks.Go(func() error {
+			holder := b.views.View().Holder(granter.SlotRange("", i))
+			if r, err := b.asker.Ask(ctx, holder, granter.NewAsk("", i, 0, 0)); err == nil && r.State() == granter.StateUnknownSlot {
+				active.Add(1)
+			}
+
+			return nil
+		})
+	}
+	_ = asks.Wait() // The asks return no errors.
+
+	return active.Load() >= findEnough
+}
+
 // Calls returns the number of calls to holders so far.
 func (b *Borrower) Calls() int64 { return b.calls.Load() }
 
 // Admit takes one token of the team's rate. It waits for one, but not past a
-// part of the time to the deadline. Where it refuses, wait is the time after
-// which another try may pass.
-func (b *Borrower) Admit(ctx context.Context, deadline timer.Instant, team *manifester.Team) (admitted bool, wait time.Duration) {
+// part of the time to the deadline.
+func (b *Borrower) Admit(ctx context.Context, deadline timer.Instant, team *manifester.Team) admitter.Verdict {
 	l := b.ledger(team)
 	w, admitted := b.arrive(l, team, deadline)
+	if admitted {
+		return admitter.Admitted()
+	}
 	if w == nil {
-		return admitted, b.pause(team)
+		return admitter.Refused(pace(team))
 	}
 	select {
 	case <-ctx.Done():
@@ -110,15 +165,25 @@
 		l.account.Leave(w)
 		l.mu.Unlock()
 
-		return false, b.pause(team)
+		return admitter.Refused(pace(team))
 	case v := <-w.Verdict():
-		// The token may have expired before this goroutine ran again.
-		if v.Admitted() && !b.clock.Now().Before(v.Expires()) {
-			return false, b.pause(team)
-		}
+		return b.conclude(v, team)
+	}
+}
 
-		return v.Admitted(), v.Wait()
+func (b *Borrower) conclude(v Verdict, team *manifester.Team) admitter.Verdict {
+	if v.Holderless() {
+		return admitter.Undecided(v.Wait())
+	}
+	if !v.Admitted() {
+		return admitter.Refused(v.Wait())
 	}
+	// The token may have expired before the waiting goroutine ran again.
+	if !b.clock.Now().Before(v.Expires()) {
+		return admitter.Refused(pace(team))
+	}
+
+	return admitter.Admitted()
 }
 
 // arrive admits the request at once, or returns the waiter that it became; no
@@ -144,8 +209,8 @@
 	return w, false
 }
 
-// pause returns the time in which the team's rate allows one request.
-func (b *Borrower) pause(team *manifester.Team) time.Duration {
+// pace returns the time in which the team's rate allows one request.
+func pace(team *manifester.Team) time.Duration {
 	return time.Duration(float64(time.Second) / team.Rate())
 }
 
--- a/internal/borrower/borrower_test.go
+++ b/internal/borrower/borrower_test.go
@@ -141,7 +141,7 @@
 	for range 64 {
 		all.Go(func() {
 			for timers.Now().Sub(start) < 500*time.Millisecond {
-				if ok, _ := b.Admit(ctx, timers.Now().Add(time.Second), team); ok {
+				if b.Admit(ctx, timers.Now().Add(time.Second), team).Admitted() {
 					admitted.Add(1)
 				}
 			}
--- a/internal/borrower/fleet_test.go
+++ b/internal/borrower/fleet_test.go
@@ -35,11 +35,12 @@
 	fenced     bool
 	team       *manifester.Team
 	admissions []timer.Instant
-	refused    int
 	calls      int
-	waits      []time.Duration
-	// onDone is told of each request's end, if set.
-	onDone func(arrived timer.Instant, admitted bool)
+	// exactLatency, if set, is the time of every message.
+	exactLatency time.Duration
+	// takeover, if set, is the time from a holder's end to its successor's
+	// start.
+	takeover time.Duration
 	// lossShare of the messages are lost.
 	lossShare float64
 }
@@ -72,6 +73,8 @@
 type pending struct {
 	waiter  *borrower.Waiter
 	arrived timer.Instant
+	// done is told of the request's end.
+	done func(admitted bool)
 }
 
 const never = timer.Instant(1 << 62)
@@ -155,7 +158,11 @@
 			continue
 		}
 		last.until = f.now.Add(f.delay(leaseTime))
-		f.install(r, f.alive(), last.until.Add(leaseMargin))
+		from := last.until.Add(leaseMargin)
+		if f.takeover > 0 {
+			from = f.now.Add(f.takeover)
+		}
+		f.install(r, f.alive(), from)
 	}
 }
 
@@ -191,6 +198,9 @@
 
 // latency returns the time of one message; a few take very long.
 func (f *fleet) latency() time.Duration {
+	if f.exactLatency > 0 {
+		return f.exactLatency
+	}
 	if f.random.IntN(200) == 0 {
 		return f.delay(400 * time.Millisecond)
 	}
@@ -198,39 +208,34 @@
 	return 500*time.Microsecond + f.delay(2*time.Millisecond)
 }
 
-// request is one arrival at a VM.
-func (f *fleet) request(v *vm, timeout time.Duration) {
-	arrived := f.now
+// request is one arrival at a VM; done is told how it ended.
+func (f *fleet) request(v *vm, timeout time.Duration, done func(admitted bool)) {
 	if v.account.Arrive(f.now) {
-		f.done(arrived, true)
+		f.done(pending{done: done, arrived: f.now}, true)
 		f.step(v)
 
 		return
 	}
 	w, ok := v.account.Enqueue(f.now, f.now.Add(timeout/2))
 	if !ok {
-		f.done(arrived, false)
+		f.done(pending{done: done, arrived: f.now}, false)
 
 		return
 	}
 	v.waiting = append(v.waiting, pending{
 		waiter:  w,
-		arrived: arrived,
+		arrived: f.now,
+		done:    done,
 	})
 	f.step(v)
 	f.wake(v)
 }
 
-func (f *fleet) done(arrived timer.Instant, admitted bool) {
+func (f *fleet) done(p pending, admitted bool) {
 	if admitted {
 		f.admissions = append(f.admissions, f.now)
-		f.waits = append(f.waits, f.now.Sub(arrived))
-	} else {
-		f.refused++
-	}
-	if f.onDone != nil {
-		f.onDone(arrived, admitted)
 	}
+	p.done(admitted)
 }
 
 func (f *fleet) step(v *vm) {
@@ -241,7 +246,7 @@
 	for _, p := range v.waiting {
 		select {
 		case verdict := <-p.waiter.Verdict():
-			f.done(p.arrived, verdict.Admitted() && f.now.Before(verdict.Expires()))
+			f.done(p, verdict.Admitted() && f.now.Before(verdict.Expires()))
 		default:
 			kept = append(kept, p)
 		}
--- /dev/null
+++ b/internal/borrower/measure_test.go
@@ -0,0 +1,241 @@
+package borrower_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+const (
+	measuredVMs  = 17
+	measuredTime = time.Minute
+	// warmUp is not counted: buckets start empty.
+	warmUp   = 10 * time.Second
+	killedAt = 30 * time.Second
+	// takeover is the time from a kill to an active successor: suspicion, and
+	// the wait for the lease with its margin.
+	takeover = 3300 * time.Millisecond
+	// oneWay is the latency between the data centres of gulf-south.
+	oneWay = 1500 * time.Microsecond
+)
+
+// admission is one way to decide which requests are within the rate.
+type admission interface {
+	request(v int, done func(admitted bool))
+	// kill ends the VM that matters most; the balancer avoids it from then on.
+	kill() int
+	// asked returns the number of calls to holders.
+	asked() int
+}
+
+// lots is the admission by holders and lots.
+type lots struct{ *fleet }
+
+func (l lots) request(v int, done func(bool)) {
+	l.fleet.request(l.vms[v], 2*time.Second, done)
+}
+
+func (l lots) asked() int { return l.calls }
+
+func (l lots) kill() int {
+	v := l.holder(0)
+	l.unseat(v)
+	v.dead = true
+
+	return v.number
+}
+
+// shares is the baseline: each VM has 1/N of the rate.
+type shares struct {
+	fleet   *fleet
+	buckets []*admitter.Bucket
+}
+
+func newShares(f *fleet, team *manifester.Team) *shares {
+	s := &shares{fleet: f}
+	n := float64(len(f.vms))
+	for range f.vms {
+		burst := max(1, team.Burst()/n)
+		s.buckets = append(s.buckets, admitter.NewBucket(0, team.Rate()/n, burst, burst))
+	}
+
+	return s
+}
+
+func (s *shares) request(v int, done func(bool)) {
+	ok, _ := s.buckets[v].Take(s.fleet.now, 1)
+	done(ok)
+}
+
+func (s *shares) asked() int { return 0 }
+func (s *shares) kill() int  { return 0 }
+
+// traffic is how the requests of one team reach the VMs.
+type traffic struct {
+	name string
+	// first is the share of the requests that reach the first VM; the others
+	// are spread evenly.
+	first float64
+	// batch is the number of requests that come at once.
+	batch int
+}
+
+// result is one line of the measurement.
+type result struct {
+	Admission string  `json:"admission"`
+	Traffic   string  `json:"traffic"`
+	Rate      float64 `json:"rate"`
+	Burst     float64 `json:"burst"`
+	Load      float64 `json:"loadOfRate"`
+	Kill      bool    `json:"holderKilled"`
+	Requests  int     `json:"requests"`
+	// Within counts the requests that one bucket for the whole fleet admits.
+	Within int `json:"within"`
+	// Wrongful counts those of them that were refused.
+	Wrongful        int     `json:"wrongful"`
+	WrongfulPercent float64 `json:"wrongfulPercent"`
+	// Excess counts the admitted requests that the one bucket refuses.
+	Excess         int     `json:"excess"`
+	CallsPerSecond float64 `json:"callsPerSecond"`
+	WaitP50Micros  int64   `json:"waitP50Micros"`
+	WaitP99Micros  int64   `json:"waitP99Micros"`
+}
+
+type measurement struct {
+	traffic traffic
+	rate    float64
+	burst   float64
+	load    float64
+	kill    bool
+	lots    bool
+}
+
+func (m measurement) run() result {
+	team := testTeam(m.rate, m.burst)
+	f := newFleet(7, measuredVMs, team)
+	f.exactLatency = oneWay
+	f.takeover = takeover
+	var a admission = lots{f}
+	name := "holders with lots"
+	if !m.lots {
+		a = newShares(f, team)
+		name = "static 1/N"
+	}
+	r := result{
+		Admission: name,
+		Traffic:   m.traffic.name,
+		Rate:      m.rate,
+		Burst:     m.burst,
+		Load:      m.load,
+		Kill:      m.kill,
+	}
+	var waits []time.Duration
+	counted := warmUp
+	if m.kill {
+		counted = killedAt
+	}
+	dead := -1
+	ideal := admitter.NewBucket(0, m.rate, m.burst, m.burst)
+	one := func() {
+		arrived := f.now
+		v := f.random.IntN(measuredVMs)
+		if f.random.Float64() < m.traffic.first {
+			v = 1
+		}
+		if v == dead {
+			v = (v + 1) % measuredVMs
+		}
+		within, _ := ideal.Take(arrived, 1)
+		a.request(v, func(admitted bool) {
+			if arrived.Before(timer.Instant(0).Add(counted)) {
+				return
+			}
+			r.count(within, admitted)
+			if admitted {
+				waits = append(waits, f.now.Sub(arrived))
+			}
+		})
+	}
+	var next func()
+	next = func() {
+		for range m.traffic.batch {
+			one()
+		}
+		pause := f.random.ExpFloat64() * float64(m.traffic.batch) / (m.load * m.rate)
+		f.at(time.Duration(pause*float64(time.Second)), nil, next)
+	}
+	next()
+	f.run(timer.Instant(0).Add(counted))
+	if m.kill {
+		dead = a.kill()
+		counted = killedAt
+	}
+	callsBefore := a.asked()
+	end := counted + measuredTime
+	if m.kill {
+		end = killedAt + 10*time.Second
+	}
+	f.run(timer.Instant(0).Add(end))
+	r.CallsPerSecond = float64(a.asked()-callsBefore) / (end - counted).Seconds()
+	r.WrongfulPercent = 100 * float64(r.Wrongful) / float64(max(1, r.Within))
+	slices.Sort(waits)
+	if len(waits) > 0 {
+		r.WaitP50Micros = waits[len(waits)/2].Microseconds()
+		r.WaitP99Micros = waits[len(waits)*99/100].Microseconds()
+	}
+
+	return r
+}
+
+func (r *result) count(within, admitted bool) {
+	r.Requests++
+	if within {
+		r.Within++
+	}
+	if within && !admitted {
+		r.Wrongful++
+	}
+	if admitted && !within {
+		r.Excess++
+	}
+}
+
+// BenchmarkMeasureRates prints, for one team on 17 VMs, how many of the
+// requests within its rate each admission refuses, and what it costs.
+func BenchmarkMeasureRates(b *testing.B) {
+	even := traffic{name: "even", batch: 1}
+	skewed := traffic{name: "half on one VM", first: 0.5, batch: 1}
+	single := traffic{name: "all on one VM", first: 1, batch: 1}
+	batches := traffic{name: "even, 20 at once", batch: 20}
+	for range b.N {
+		for _, lots := range []bool{false, true} {
+			for _, m := range []measurement{
+				{traffic: even, rate: 100, burst: 100, load: 0.8},
+				{traffic: skewed, rate: 100, burst: 100, load: 0.8},
+				{traffic: single, rate: 100, burst: 100, load: 0.8},
+				{traffic: batches, rate: 100, burst: 100, load: 0.5},
+				{traffic: even, rate: 5, burst: 5, load: 0.8},
+				{traffic: single, rate: 5, burst: 5, load: 0.8},
+				{traffic: even, rate: 1000, burst: 1000, load: 0.8},
+				{traffic: even, rate: 100, burst: 100, load: 10},
+				{traffic: even, rate: 100, burst: 100, load: 0.8, kill: true},
+				{traffic: single, rate: 100, burst: 100, load: 0.8, kill: true},
+				{traffic: even, rate: 5, burst: 5, load: 0.8, kill: true},
+			} {
+				m.lots = lots
+				r := m.run()
+				text, err := json.Marshal(r)
+				if err != nil {
+					b.Fatal(err)
+				}
+				fmt.Println(string(text))
+			}
+		}
+	}
+}
--- a/internal/borrower/slot.go
+++ b/internal/borrower/slot.go
@@ -1,6 +1,8 @@
 package borrower
 
 import (
+	"time"
+
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
@@ -17,8 +19,12 @@
 	// asking is set while a call is on its way, since the instant asked.
 	asking bool
 	asked  timer.Instant
-	// silent is the instant before which the holder is not asked again.
+	// silent is the instant before which the holder is not asked again, and
+	// scarce the one before which it is not asked for spare tokens alone.
 	silent timer.Instant
+	scarce timer.Instant
+	// pause is the last pause of a holder without tokens; 0 after it had some.
+	pause time.Duration
 	// holderless is set while the last call found no active holder.
 	holderless bool
 }
@@ -34,6 +40,13 @@
 	s.lots = kept
 }
 
+// rest lets a holder without tokens rest until it has one, and longer each
+// time in a row: other VMs wait for the same tokens.
+func (s *slot) rest(now timer.Instant, wait time.Duration) {
+	s.pause = min(emptyPauseMax, max(emptyPause, wait, 2*s.pause))
+	s.silent = now.Add(s.pause)
+}
+
 // count returns the number of tokens.
 func (s *slot) count() int {
 	n := 0
--- a/internal/borrower/waiter.go
+++ b/internal/borrower/waiter.go
@@ -11,6 +11,8 @@
 	admitted bool
 	// expires is when an admitted request's token expires.
 	expires timer.Instant
+	// holderless is set where the wait was for a slot without a holder.
+	holderless bool
 	// wait is the time after which another try may pass, where not admitted.
 	wait time.Duration
 }
@@ -21,6 +23,9 @@
 // Expires returns when the token expires.
 func (v Verdict) Expires() timer.Instant { return v.expires }
 
+// Holderless reports whether the wait was for a slot without a holder.
+func (v Verdict) Holderless() bool { return v.holderless }
+
 // Wait returns the time after which another try may pass.
 func (v Verdict) Wait() time.Duration { return v.wait }
 
--- a/internal/borrower/window_test.go
+++ b/internal/borrower/window_test.go
@@ -95,7 +95,7 @@
 		f.at(pause, nil, func() {
 			v := f.vms[f.random.IntN(len(f.vms))]
 			if !v.dead && !v.frozen.After(f.now) {
-				f.request(v, time.Second)
+				f.request(v, time.Second, func(bool) {})
 			}
 			next()
 		})
--- a/internal/filterer/admit.go
+++ b/internal/filterer/admit.go
@@ -2,27 +2,26 @@
 
 import (
 	"context"
-	"time"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
-type admitter interface {
+type rateAdmitter interface {
 	// Admit takes one request of the team's rate; it may wait for a part of the
-	// time to the deadline. Where it is refused, wait is the time after which
-	// another try may pass.
-	Admit(ctx context.Context, deadline timer.Instant, team *manifester.Team) (admitted bool, wait time.Duration)
+	// time to the deadline.
+	Admit(ctx context.Context, deadline timer.Instant, team *manifester.Team) admitter.Verdict
 }
 
 // Admit refuses requests over the team's rate and burst.
 type Admit struct {
-	admitter admitter
+	admitter rateAdmitter
 }
 
 // NewAdmit returns the filter.
-func NewAdmit(a admitter) *Admit {
+func NewAdmit(a rateAdmitter) *Admit {
 	return &Admit{
 		admitter: a,
 	}
@@ -37,10 +36,13 @@
 	if x.Team() == nil {
 		return next.Serve(ctx, x)
 	}
-	admitted, wait := a.admitter.Admit(ctx, x.Deadline(), x.Team())
-	if !admitted {
-		return handler.NewRefusal(handler.CodeOverRate, "the team is over its rate").WithRetryAfter(wait)
+	verdict := a.admitter.Admit(ctx, x.Deadline(), x.Team())
+	if verdict.Admitted() {
+		return next.Serve(ctx, x)
+	}
+	if verdict.Holderless() {
+		return handler.NewRefusal(handler.CodeRateUnknown, "no holder of the team's rate can be reached").WithRetryAfter(verdict.Wait())
 	}
 
-	return next.Serve(ctx, x)
+	return handler.NewRefusal(handler.CodeOverRate, "the team is over its rate").WithRetryAfter(verdict.Wait())
 }
--- a/internal/handler/refusal.go
+++ b/internal/handler/refusal.go
@@ -39,6 +39,7 @@
 	CodeKeysStale      Code = "keys-stale"
 	CodeNotAllowed     Code = "team-not-allowed"
 	CodeOverRate       Code = "over-rate"
+	CodeRateUnknown    Code = "rate-unknown"
 	CodeOverload       Code = "overload"
 	CodeNoTarget       Code = "no-target"
 	CodeConnect        Code = "upstream-connect"
@@ -66,6 +67,7 @@
 	CodeKeysStale:      http.StatusServiceUnavailable,
 	CodeNotAllowed:     http.StatusForbidden,
 	CodeOverRate:       http.StatusTooManyRequests,
+	CodeRateUnknown:    http.StatusServiceUnavailable,
 	CodeOverload:       http.StatusServiceUnavailable,
 	CodeNoTarget:       http.StatusServiceUnavailable,
 	CodeConnect:        http.StatusBadGateway,
--- /dev/null
+++ b/internal/messenger/rates_test.go
@@ -0,0 +1,93 @@
+package messenger_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/granter"
+	"github.com/lagoonkeel/lagoonkeel/internal/member"
+	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
+)
+
+// countingListener counts the bytes of its connections in both directions.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+
+	return &countingConn{
+		Conn:  c,
+		bytes: &l.bytes,
+	}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+
+	return n, err
+}
+
+// fixed grants every ask the same.
+type fixed struct{}
+
+func (fixed) Grant(a granter.Ask) granter.Reply {
+	return granter.NewReply(a.Needed()+a.Spare(), 500*time.Millisecond, 0)
+}
+
+// BenchmarkMeasureRateMessage reports the time and the payload bytes of one ask
+// and its reply on a warm connection over loopback.
+func BenchmarkMeasureRateMessage(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	counted := &countingListener{Listener: ln}
+	s := messenger.NewServer(counted)
+	if err := s.RegisterRates(fixed{}); err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	pool := messenger.NewPool()
+	holder := member.NewVM("vm-2", 1, ln.Addr().String(), "kandy")
+	c := messenger.NewRateClient("vm-1", fixed{}, pool)
+	ask := granter.NewAsk("guides-of-kandy", 1, 3, 20)
+	if _, err := c.Ask(ctx, holder, ask); err != nil {
+		b.Fatal(err)
+	}
+	counted.bytes.Store(0)
+	b.ResetTimer()
+	for range b.N {
+		if _, err := c.Ask(ctx, holder, ask); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(counted.bytes.Load())/float64(b.N), "bytes/ask")
+	pool.Close()
+	cancel()
+	<-done
+}
