--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -161,7 +161,7 @@
 		filterer.NewRoute(),
 		filterer.NewFresh(v.follower, v.timers),
 		filterer.NewDeadline(),
-		filterer.NewAdmit(v.borrower),
+		filterer.NewAdmit(v.borrower, v.tracer),
 		filterer.NewQueue(newQueue(v)),
 		filterer.NewRetry(retrier.New(), v.timers),
 		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
--- a/internal/assembler/queue.go
+++ b/internal/assembler/queue.go
@@ -1,8 +1,15 @@
 package assembler
 
-import "github.com/lagoonkeel/lagoonkeel/internal/queuer"
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
+)
 
 // newQueue builds the fair queue towards upstreams.
 func newQueue(v *VM) *queuer.Queuer {
-	return queuer.New(v.timers, queuer.NewPart(v.members))
+	q := queuer.New(v.timers, queuer.NewPart(v.members))
+	metrics.NewRegisteredFunctionalGauge("queue.waiting", v.meter.Registry(), q.Waiting)
+
+	return q
 }
--- a/internal/assembler/rates.go
+++ b/internal/assembler/rates.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/lagoonkeel/lagoonkeel/internal/borrower"
 	"github.com/lagoonkeel/lagoonkeel/internal/granter"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
@@ -20,6 +22,7 @@
 	client := messenger.NewRateClient(member.ID(v.settings.ID()), g, v.pool)
 	v.borrower = borrower.New(v.timers, v.member, client)
 	v.controllers = append(v.controllers, g, v.borrower)
+	metrics.NewRegisteredFunctionalGauge("rates.calls", v.meter.Registry(), v.borrower.Calls)
 
 	return nil
 }
--- a/internal/filterer/admit.go
+++ b/internal/filterer/admit.go
@@ -18,12 +18,14 @@
 // Admit refuses requests over the team's rate and burst.
 type Admit struct {
 	admitter rateAdmitter
+	tracer   tracer
 }
 
 // NewAdmit returns the filter.
-func NewAdmit(a rateAdmitter) *Admit {
+func NewAdmit(a rateAdmitter, t tracer) *Admit {
 	return &Admit{
 		admitter: a,
+		tracer:   t,
 	}
 }
 
@@ -36,13 +38,30 @@
 	if x.Team() == nil {
 		return next.Serve(ctx, x)
 	}
-	verdict := a.admitter.Admit(ctx, x.Deadline(), x.Team())
-	if verdict.Admitted() {
-		return next.Serve(ctx, x)
+	if err := a.admit(ctx, x); err != nil {
+		return err
+	}
+
+	return next.Serve(ctx, x)
+}
+
+// admit takes one request of the team's rate. Its span covers the calls to
+// holders that the request waits for.
+func (a *Admit) admit(ctx context.Context, x *handler.Exchange) error {
+	ctx, end := a.tracer.Start(ctx, "admit")
+	err := refusalOf(a.admitter.Admit(ctx, x.Deadline(), x.Team()))
+	end(x.Labels(), err)
+
+	return err
+}
+
+func refusalOf(v admitter.Verdict) error {
+	if v.Admitted() {
+		return nil
 	}
-	if verdict.Holderless() {
-		return handler.NewRefusal(handler.CodeRateUnknown, "no holder of the team's rate can be reached").WithRetryAfter(verdict.Wait())
+	if v.Holderless() {
+		return handler.NewRefusal(handler.CodeRateUnknown, "no holder of the team's rate can be reached").WithRetryAfter(v.Wait())
 	}
 
-	return handler.NewRefusal(handler.CodeOverRate, "the team is over its rate").WithRetryAfter(verdict.Wait())
+	return handler.NewRefusal(handler.CodeOverRate, "the team is over its rate").WithRetryAfter(v.Wait())
 }
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -88,10 +88,10 @@
 	q.scheduler.Leave(q.clock.Now(), t)
 }
 
-// Waiting returns the number of requests that wait for the service.
-func (q *Queuer) Waiting(service string) int {
+// Waiting returns the number of requests that wait.
+func (q *Queuer) Waiting() int64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	return q.scheduler.Waiting(service)
+	return int64(q.scheduler.Waiting())
 }
--- a/internal/queuer/scheduler.go
+++ b/internal/queuer/scheduler.go
@@ -77,13 +77,14 @@
 	return t.deadline.Add(-s.line(t).duration)
 }
 
-// Waiting returns the number of requests that wait for the service.
-func (s *Scheduler) Waiting(service string) int {
-	if l, ok := s.lines[service]; ok {
-		return l.waiting
+// Waiting returns the number of requests that wait.
+func (s *Scheduler) Waiting() int {
+	n := 0
+	for _, l := range s.lines {
+		n += l.waiting
 	}
 
-	return 0
+	return n
 }
 
 func (s *Scheduler) line(t *Ticket) *line {
--- a/internal/queuer/scheduler_test.go
+++ b/internal/queuer/scheduler_test.go
@@ -184,7 +184,7 @@
 	if most.Load() > bound || started.Load() == 0 || refused.Load() == 0 {
 		t.Errorf("%d ran at once, %d started, %d were refused; want at most %d, some and some", most.Load(), started.Load(), refused.Load(), bound)
 	}
-	if n := q.Waiting(s.Name()); n != 0 {
+	if n := q.Waiting(); n != 0 {
 		t.Errorf("%d requests still wait", n)
 	}
 }
