Bound the fair queue by the targets' capacity

Twice the VM's even part of the slots was a stand-in; the picker now tells the adaptive number of requests that the VM may have in flight per service.

--- a/internal/assembler/queue.go
+++ b/internal/assembler/queue.go
@@ -8,7 +8,7 @@
 
 // newQueue builds the fair queue towards upstreams.
 func newQueue(v *VM) *queuer.Queuer {
-	q := queuer.New(v.timers, queuer.NewPart(v.members))
+	q := queuer.New(v.timers, queuer.NewBounds(v.targets.balancer))
 	metrics.NewRegisteredFunctionalGauge("queue.waiting", v.meter.Registry(), q.Waiting)
 
 	return q
--- a/internal/queuer/capacity.go
+++ b/internal/queuer/capacity.go
@@ -2,41 +2,29 @@
 
 import "github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 
-const (
-	// maxRunning bounds the requests that one VM sends to upstreams at once.
-	maxRunning = 512
-	// unevenness is how many times its even part of the load one VM may get
-	// from the balancer.
-	unevenness = 2
-)
+// maxRunning bounds the requests that one VM sends to upstreams at once.
+const maxRunning = 512
 
-// Part is the capacity of a VM that may use its part of each service's slots.
-type Part struct {
-	// members returns the number of VMs that share the targets; at least 1.
-	members func() int
+type services interface {
+	// Capacity returns how many requests of the service this VM may have in
+	// flight.
+	Capacity(service string) int
 }
 
-// NewPart returns the capacity of one of the members.
-func NewPart(members func() int) *Part {
-	return &Part{
-		members: members,
-	}
+// Bounds is the capacity of a VM whose targets bound each service.
+type Bounds struct {
+	services services
 }
 
-// Service returns twice the VM's even part of the service's slots, but not less
-// than one target has.
-func (p *Part) Service(s *manifester.Service) int {
-	slots, largest := 0, 1
-	for _, t := range s.Targets() {
-		if t.Leaving() {
-			continue
-		}
-		slots += t.Slots()
-		largest = max(largest, t.Slots())
+// NewBounds returns a capacity by the targets' bounds.
+func NewBounds(s services) *Bounds {
+	return &Bounds{
+		services: s,
 	}
-
-	return max(largest, unevenness*slots/max(1, p.members()))
 }
 
+// Service returns the bound of the service's targets.
+func (b *Bounds) Service(s *manifester.Service) int { return b.services.Capacity(s.Name()) }
+
 // Total returns the bound of the whole VM.
-func (p *Part) Total() int { return maxRunning }
+func (b *Bounds) Total() int { return maxRunning }
