--- a/internal/messenger/rates_test.go
+++ b/internal/messenger/rates_test.go
@@ -56,6 +56,64 @@
 	return granter.NewReply(a.Needed()+a.Spare(), 500*time.Millisecond, 0)
 }
 
+// scripted grants by the slot's number.
+type scripted struct {
+	asked granter.Ask
+}
+
+func (s *scripted) Grant(a granter.Ask) granter.Reply {
+	s.asked = a
+	switch a.Slot() {
+	case 0:
+		return granter.NewReply(3, 250*time.Millisecond, 40*time.Millisecond)
+	case 1:
+		return granter.NewRejection(granter.StateNotHolder)
+	default:
+		return granter.NewRejection(granter.StateUnknownSlot)
+	}
+}
+
+// TestRateMessages sends asks over loopback and compares what arrives.
+func TestRateMessages(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := messenger.NewServer(ln)
+	holder := &scripted{}
+	if err := s.RegisterRates(holder); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	pool := messenger.NewPool()
+	local := &scripted{}
+	c := messenger.NewRateClient("vm-1", local, pool)
+	for slot, want := range []granter.Reply{
+		granter.NewReply(3, 250*time.Millisecond, 40*time.Millisecond),
+		granter.NewRejection(granter.StateNotHolder),
+		granter.NewRejection(granter.StateUnknownSlot),
+	} {
+		ask := granter.NewAsk("guides", slot, 5, 7)
+		got, err := c.Ask(ctx, member.NewVM("vm-2", 1, ln.Addr().String(), "kandy"), ask)
+		if err != nil || got != want || holder.asked != ask {
+			t.Errorf("slot %d: %+v, %v of %+v; want %+v of %+v", slot, got, err, holder.asked, want, ask)
+		}
+		if got, err := c.Ask(ctx, member.NewVM("vm-1", 1, "", "kandy"), ask); err != nil || got != want || local.asked != ask {
+			t.Errorf("slot %d, granted here: %+v, %v", slot, got, err)
+		}
+	}
+	pool.Close()
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if _, err := c.Ask(context.Background(), member.NewVM("vm-2", 1, ln.Addr().String(), "kandy"), granter.NewAsk("guides", 0, 1, 0)); err == nil {
+		t.Error("a holder that is gone answered")
+	}
+}
+
 // BenchmarkMeasureRateMessage reports the time and the payload bytes of one ask
 // and its reply on a warm connection over loopback.
 func BenchmarkMeasureRateMessage(b *testing.B) {
