--- a/internal/borrower/borrower.go
+++ b/internal/borrower/borrower.go
@@ -22,20 +22,11 @@
 	// deadlineShare is the part of a request's remaining time that it may
 	// spend waiting for a token.
 	deadlineShare = 0.75
-	// findPeriod is the time between two looks for active holders after the
-	// start, and findTime the longest time for which they go on.
-	findPeriod = 100 * time.Millisecond
-	findTime   = 10 * time.Second
-	// findSample is the number of ranges looked at, and findEnough how many of
-	// them must have an active holder.
-	findSample = 16
-	findEnough = 8
 )
 
 type clock interface {
 	Now() timer.Instant
 	After(d time.Duration) *timer.Subscription
-	Every(d time.Duration) *timer.Subscription
 }
 
 type viewSource interface {
@@ -62,7 +53,6 @@
 	// ended is closed when no request can wait any more.
 	ended chan struct{}
 	calls atomic.Int64
-	ready atomic.Bool
 }
 
 // ledger is one team's account and what it was built from.
@@ -94,57 +84,15 @@
 // Name returns the controller's name.
 func (b *Borrower) Name() string { return "borrower" }
 
-// Run looks for active holders until there are some, waits for ctx to end, and
-// then for the calls on their way. No request may be admitted after ctx ended.
+// Run waits for ctx to end and then for the calls on their way. No request may
+// be admitted after ctx ended.
 func (b *Borrower) Run(ctx context.Context) error {
-	b.find(ctx)
 	<-ctx.Done()
 	close(b.ended)
 
 	return b.tasks.Wait() //nolint:wrapcheck // The tasks return no errors.
 }
 
-// Ready reports whether half of a sample of ranges once had an active holder: in a
-// fleet that has just started, no rate can be decided before.
-func (b *Borrower) Ready() bool { return b.ready.Load() }
-
-// find asks a sample of the ranges until half have an active holder, or for
-// the longest time that the VM may be kept from being ready.
-func (b *Borrower) find(ctx context.Context) {
-	tick := b.clock.Every(findPeriod)
-	defer tick.Stop()
-	for end := b.clock.Now().Add(findTime); b.clock.Now().Before(end) && !b.found(ctx); {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.Due():
-		}
-	}
-	b.ready.Store(true)
-}
-
-// found reports whether half of the sample have an active holder. A
-// holder answers that it does not know the slots of a team without a name.
-func (b *Borrower) found(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	var active atomic.Int64
-	var asks errgroup.Group
-	for i := range findSample {
-		asks.Go(func() error {
-			holder := b.views.View().Holder(granter.SlotRange("", i))
-			if r, err := b.asker.Ask(ctx, holder, granter.NewAsk("", i, 0, 0)); err == nil && r.State() == granter.StateUnknownSlot {
-				active.Add(1)
-			}
-
-			return nil
-		})
-	}
-	_ = asks.Wait() // The asks return no errors.
-
-	return active.Load() >= findEnough
-}
-
 // Calls returns the number of calls to holders so far.
 func (b *Borrower) Calls() int64 { return b.calls.Load() }
 
