--- a/internal/follower/reading.go
+++ b/internal/follower/reading.go
@@ -16,7 +16,7 @@
 const (
 	// readWait is how long one read waits for a new record. The age of the
 	// word that it brings is counted from its sending.
-	readWait = time.Second
+	readWait = 500 * time.Millisecond
 	// tickPeriod is the time between reads while the log is unavailable.
 	tickPeriod = 250 * time.Millisecond
 	// hedgeAfter is the time after which a read without an answer is joined by
@@ -99,6 +99,7 @@
 	if r.err != nil {
 		return
 	}
+	f.first.Store(max(f.first.Load(), int64(r.batch.First())))
 	before := f.state.Next()
 	if r.snapshot != nil {
 		r.snapshot.deliver(ctx, f)
