--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 measure-rates: ## Measure the rates across the fleet and the fair queue.
 	go test -run '^$$' -bench 'MeasureRates|MeasureQueue' -benchtime 1x ./internal/borrower ./internal/queuer
 	go test -run '^$$' -bench MeasureRateMessage -benchtime 20000x ./internal/messenger
+	go test -run '^$$' -bench MeasureAdmit -benchtime 500000x -cpu 1,4 ./internal/borrower
 
 vet: ## Run go vet.
 	go vet ./...
--- a/internal/borrower/measure_test.go
+++ b/internal/borrower/measure_test.go
@@ -1,13 +1,18 @@
 package borrower_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
+	"github.com/lagoonkeel/lagoonkeel/internal/borrower"
+	"github.com/lagoonkeel/lagoonkeel/internal/granter"
+	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
@@ -252,3 +257,37 @@
 		}
 	}
 }
+
+// BenchmarkMeasureAdmit reports the time of one admission from a lot, with
+// requests of one team on every processor.
+func BenchmarkMeasureAdmit(b *testing.B) {
+	team := testTeam(1e9, 1e9)
+	m, err := manifester.Restore(0, nil, []*manifester.Team{team}, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := alone{
+		view:     member.NewView(member.NewVM("vm-1", 1, "", "kandy"), nil),
+		manifest: m,
+	}
+	timers := timer.NewService()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- timers.Run(ctx) }()
+	a := borrower.New(timers, s, direct{granter: granter.New(s, s, timers)})
+	var refused atomic.Int64
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			if !a.Admit(ctx, timers.Now().Add(time.Second), team).Admitted() {
+				refused.Add(1)
+			}
+		}
+	})
+	b.ReportMetric(float64(refused.Load()), "refused")
+	b.ReportMetric(float64(a.Calls()), "calls")
+	cancel()
+	if err := a.Run(ctx); err != nil {
+		b.Fatal(err)
+	}
+	<-done
+}
