--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,6 @@
 demo-processes: build ## Show the whole path with separate processes.
 	bash scripts/demo-processes.sh
 
-measure: measure-rates ## Run every measurement.
-
 measure-rates: ## Measure the rates across the fleet and the fair queue.
 	go test -run '^$$' -bench 'MeasureRates|MeasureQueue' -benchtime 1x ./internal/borrower ./internal/queuer
 	go test -run '^$$' -bench MeasureRateMessage -benchtime 20000x ./internal/messenger
@@ -45,7 +43,7 @@
 	@test -x $(GOBIN)/gofumpt || go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
 	@test -x $(GOBIN)/golangci-lint || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
 
-measure: ## Measure the policies; writes JSON files below measure/.
+measure: measure-rates ## Measure the policies; writes JSON files below measure/.
 	mkdir -p measure
 	LAGOONKEEL_MEASURE=$(CURDIR)/measure go test -count=1 -p 1 -timeout 30m -v -run '^TestMeasure' ./...
 
