--- a/Makefile
+++ b/Makefile
@@ -31,11 +31,10 @@
 demo-processes: build ## Show the whole path with separate processes.
 	bash scripts/demo-processes.sh
 
-measure: measure-rates ## Run every measurement.
-
 measure-rates: ## Measure the rates across the fleet and the fair queue.
 	go test -run '^$$' -bench 'MeasureRates|MeasureQueue' -benchtime 1x ./internal/borrower ./internal/queuer
 	go test -run '^$$' -bench MeasureRateMessage -benchtime 20000x ./internal/messenger
+	go test -run '^$$' -bench MeasureAdmit -benchtime 500000x -cpu 1,4 ./internal/borrower
 
 vet: ## Run go vet.
 	go vet ./...
@@ -47,7 +46,7 @@
 model: ## Model-check the core protocol (needs spin and gcc; about a minute and a half).
 	bash model/check.sh
 
-measure: ## Measure the policies; writes JSON files below measure/.
+measure: measure-rates ## Measure the policies; writes JSON files below measure/.
 	mkdir -p measure
 	LAGOONKEEL_MEASURE=$(CURDIR)/measure go test -count=1 -p 1 -timeout 30m -v -run '^TestMeasure' ./...
 
