--- a/internal/borrower/borrower.go
+++ b/internal/borrower/borrower.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
 	"github.com/lagoonkeel/lagoonkeel/internal/granter"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -20,7 +21,7 @@
 	askTimeout = 150 * time.Millisecond
 	// deadlineShare is the part of a request's remaining time that it may
 	// spend waiting for a token.
-	deadlineShare = 0.5
+	deadlineShare = 0.75
 )
 
 type clock interface {
@@ -96,13 +97,15 @@
 func (b *Borrower) Calls() int64 { return b.calls.Load() }
 
 // Admit takes one token of the team's rate. It waits for one, but not past a
-// part of the time to the deadline. Where it refuses, wait is the time after
-// which another try may pass.
-func (b *Borrower) Admit(ctx context.Context, deadline timer.Instant, team *manifester.Team) (admitted bool, wait time.Duration) {
+// part of the time to the deadline.
+func (b *Borrower) Admit(ctx context.Context, deadline timer.Instant, team *manifester.Team) admitter.Verdict {
 	l := b.ledger(team)
 	w, admitted := b.arrive(l, team, deadline)
+	if admitted {
+		return admitter.Admitted()
+	}
 	if w == nil {
-		return admitted, b.pause(team)
+		return admitter.Refused(pace(team))
 	}
 	select {
 	case <-ctx.Done():
@@ -110,15 +113,25 @@
 		l.account.Leave(w)
 		l.mu.Unlock()
 
-		return false, b.pause(team)
+		return admitter.Refused(pace(team))
 	case v := <-w.Verdict():
-		// The token may have expired before this goroutine ran again.
-		if v.Admitted() && !b.clock.Now().Before(v.Expires()) {
-			return false, b.pause(team)
-		}
+		return b.conclude(v, team)
+	}
+}
 
-		return v.Admitted(), v.Wait()
+func (b *Borrower) conclude(v Verdict, team *manifester.Team) admitter.Verdict {
+	if v.Holderless() {
+		return admitter.Undecided(v.Wait())
 	}
+	if !v.Admitted() {
+		return admitter.Refused(v.Wait())
+	}
+	// The token may have expired before the waiting goroutine ran again.
+	if !b.clock.Now().Before(v.Expires()) {
+		return admitter.Refused(pace(team))
+	}
+
+	return admitter.Admitted()
 }
 
 // arrive admits the request at once, or returns the waiter that it became; no
@@ -144,8 +157,8 @@
 	return w, false
 }
 
-// pause returns the time in which the team's rate allows one request.
-func (b *Borrower) pause(team *manifester.Team) time.Duration {
+// pace returns the time in which the team's rate allows one request.
+func pace(team *manifester.Team) time.Duration {
 	return time.Duration(float64(time.Second) / team.Rate())
 }
 
@@ -187,12 +200,14 @@
 }
 
 // rank orders the slots by the distance of their holders: this VM itself, its
-// data centre, the others.
+// data centre, the others. Each VM begins with another of those that are
+// equally far.
 func rank(team string, slots int, v *member.View) []int {
 	ranking := make([]int, slots)
 	distances := make([]int, slots)
+	first := int(member.RangeOf(string(v.Self().ID()) + "/" + team))
 	for i := range slots {
-		ranking[i] = i
+		ranking[i] = (first + i) % slots
 		distances[i] = distance(v.Self(), v.Holder(granter.SlotRange(team, i)))
 	}
 	sort.SliceStable(ranking, func(i, j int) bool {
--- a/internal/filterer/admit.go
+++ b/internal/filterer/admit.go
@@ -2,29 +2,30 @@
 
 import (
 	"context"
-	"time"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
-type admitter interface {
+type rateAdmitter interface {
 	// Admit takes one request of the team's rate; it may wait for a part of the
-	// time to the deadline. Where it is refused, wait is the time after which
-	// another try may pass.
-	Admit(ctx context.Context, deadline timer.Instant, team *manifester.Team) (admitted bool, wait time.Duration)
+	// time to the deadline.
+	Admit(ctx context.Context, deadline timer.Instant, team *manifester.Team) admitter.Verdict
 }
 
 // Admit refuses requests over the team's rate and burst.
 type Admit struct {
-	admitter admitter
+	admitter rateAdmitter
+	tracer   tracer
 }
 
 // NewAdmit returns the filter.
-func NewAdmit(a admitter) *Admit {
+func NewAdmit(a rateAdmitter, t tracer) *Admit {
 	return &Admit{
 		admitter: a,
+		tracer:   t,
 	}
 }
 
@@ -37,10 +38,30 @@
 	if x.Team() == nil {
 		return next.Serve(ctx, x)
 	}
-	admitted, wait := a.admitter.Admit(ctx, x.Deadline(), x.Team())
-	if !admitted {
-		return handler.NewRefusal(handler.CodeOverRate, "the team is over its rate").WithRetryAfter(wait)
+	if err := a.admit(ctx, x); err != nil {
+		return err
 	}
 
 	return next.Serve(ctx, x)
 }
+
+// admit takes one request of the team's rate. Its span covers the calls to
+// holders that the request waits for.
+func (a *Admit) admit(ctx context.Context, x *handler.Exchange) error {
+	ctx, end := a.tracer.Start(ctx, "admit")
+	err := refusalOf(a.admitter.Admit(ctx, x.Deadline(), x.Team()))
+	end(x.Labels(), err)
+
+	return err
+}
+
+func refusalOf(v admitter.Verdict) error {
+	if v.Admitted() {
+		return nil
+	}
+	if v.Holderless() {
+		return handler.NewRefusal(handler.CodeRateUnknown, "no holder of the team's rate can be reached").WithRetryAfter(v.Wait())
+	}
+
+	return handler.NewRefusal(handler.CodeOverRate, "the team is over its rate").WithRetryAfter(v.Wait())
+}
