--- a/internal/member/participant.go
+++ b/internal/member/participant.go
@@ -126,9 +126,26 @@
 	for _, m := range r.members {
 		p.meet(m.incarnation, now)
 	}
+	p.forget(now)
 	p.proposals.restart(p.jitter(), now)
 }
 
+// forget drops what is known of VMs that are gone, so that restarts do not add
+// up.
+func (p *Participant) forget(now timer.Instant) {
+	for i, c := range p.contacts {
+		if !p.roster.has(i) && now.Sub(c.heard) > forgetAfter {
+			delete(p.contacts, i)
+			delete(p.resigned, i)
+		}
+	}
+	for i, e := range p.lastBan {
+		if e+1 < p.roster.epoch {
+			delete(p.lastBan, i)
+		}
+	}
+}
+
 // meet returns the contact of an incarnation. A new one gets the time of grace
 // of a member that was just heard.
 func (p *Participant) meet(i Incarnation, now timer.Instant) *contact {
--- a/internal/member/scenario_test.go
+++ b/internal/member/scenario_test.go
@@ -69,6 +69,8 @@
 		// length is how long the world runs after the fault.
 		length time.Duration
 		fault  func(w *world, id member.ID) string
+		// then strikes after the length, and the world runs for it once more.
+		then func(w *world, id member.ID) string
 	}{
 		{name: "quiet", bound: 0, length: 20 * time.Second, fault: func(*world, member.ID) string { return "nothing" }},
 		{name: "kill-log-up", bound: takeoverBound, length: 10 * time.Second, fault: func(w *world, id member.ID) string {
@@ -88,6 +90,15 @@
 
 			return "the log goes down; freeze " + string(id)
 		}},
+		{name: "freeze-thaw", bound: takeoverBound, length: 15 * time.Second, fault: func(w *world, id member.ID) string {
+			w.freeze(id, true)
+
+			return "freeze " + string(id)
+		}, then: func(w *world, id member.ID) string {
+			w.freeze(id, false)
+
+			return "thaw " + string(id)
+		}},
 		{name: "one-way-in", bound: takeoverBound, length: 10 * time.Second, fault: func(w *world, id member.ID) string {
 			for _, o := range w.all {
 				w.cut[[2]member.ID{o, id}] = true
@@ -143,9 +154,16 @@
 			if s.w.active() != member.RangeCount {
 				t.Errorf("%d ranges have a holder before the fault", s.w.active())
 			}
-			s.note("%s", c.fault(s.w, s.w.busiest()))
+			struck := s.w.busiest()
+			s.note("%s", c.fault(s.w, struck))
 			s.w.run(c.length, s.look)
 			gap := s.gap
+			if c.then != nil {
+				s.note("the longest time without a holder of every range was %v", gap)
+				s.note("%s", c.then(s.w, struck))
+				s.w.run(c.length, s.look)
+				gap = max(gap, s.gap)
+			}
 			s.note("the longest time without a holder of every range was %v", gap)
 			goldie.New(t).Assert(t, c.name, []byte(s.out.String()))
 			if gap > c.bound {
--- a/internal/member/timing.go
+++ b/internal/member/timing.go
@@ -21,6 +21,8 @@
 	pauseAfter = 2 * pingPeriod
 	// silentAfter is how long a member must be silent before its removal.
 	silentAfter = 4 * time.Second
+	// forgetAfter is how long a VM that is no member is remembered.
+	forgetAfter = time.Minute
 	// listLag bounds how far the platform's list is behind the truth.
 	listLag = 10 * time.Second
 	// listStaleAfter is the age at which the last list tells nothing.
