Run proofs side by side, four fleets at once

Cause: the proofs ran one after another for more than 150 s, mostly waiting. Each has processes and ports of its own.

--- a/internal/prover/fleet_test.go
+++ b/internal/prover/fleet_test.go
@@ -64,9 +64,15 @@
 	address string
 }
 
+// fleetSlots bounds the fleets that run at once, so that proofs share the
+// machine without starving each other.
+var fleetSlots = make(chan struct{}, 4)
+
 // startFleet starts the platform, the upstreams and the VMs.
 func startFleet(t *testing.T, s fleetSpec) *fleet {
 	t.Helper()
+	fleetSlots <- struct{}{}
+	t.Cleanup(func() { <-fleetSlots })
 	f := &fleet{
 		t:        t,
 		logAddr:  freeAddress(t),
--- a/internal/prover/path_test.go
+++ b/internal/prover/path_test.go
@@ -33,6 +33,7 @@
 // TestWholePath serves a request from end to end through every VM, each part a
 // process of its own.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, fleetSpec{
 		vms: 3,
 		upstreams: map[string]int{
--- a/internal/prover/proof01_test.go
+++ b/internal/prover/proof01_test.go
@@ -50,6 +50,7 @@
 // leaving at once. No VM's table ever holds less healthy capacity than the
 // floor, or than there is without ejection.
 func TestProof01Floor(t *testing.T) {
+	t.Parallel()
 	const floor = 20
 	f := startFleet(t, fleetSpec{
 		vms: 3,
--- a/internal/prover/proof02_test.go
+++ b/internal/prover/proof02_test.go
@@ -55,6 +55,7 @@
 // TestProof02Teams proves that, except on open routes, a request runs only for
 // the team whose key came with it.
 func TestProof02Teams(t *testing.T) {
+	t.Parallel()
 	f := smallFleet(t, 3)
 	c := newClient(t)
 	var out strings.Builder
@@ -93,6 +94,7 @@
 // TestProof02Reuse proves that a key of two teams is refused before it is
 // published.
 func TestProof02Reuse(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, fleetSpec{
 		upstreams: map[string]int{
 			"bookings":  1,
--- a/internal/prover/proof03_test.go
+++ b/internal/prover/proof03_test.go
@@ -130,6 +130,7 @@
 // TestProof03KeysUnseen proves that no upstream, log, trace or error body ever
 // holds a caller's key or its digest, wherever the key stood in the request.
 func TestProof03KeysUnseen(t *testing.T) {
+	t.Parallel()
 	up := startWire(t)
 	f := startFleet(t, fleetSpec{
 		vms:    1,
--- a/internal/prover/proof04_test.go
+++ b/internal/prover/proof04_test.go
@@ -86,6 +86,7 @@
 // TestProof04Withdrawal proves that a withdrawn key stops working on every VM
 // within 5 s, on open connections, whatever is cut or slow.
 func TestProof04Withdrawal(t *testing.T) {
+	t.Parallel()
 	for name, fault := range map[string]func(f *fleet){
 		"no fault":                       func(*fleet) {},
 		"one VM cut from the log":        func(f *fleet) { f.vms[0].toLog.cut() },
@@ -139,6 +140,7 @@
 // request with the withdrawn key pass when it goes on, not even one that had
 // waited in its socket.
 func TestProof04Frozen(t *testing.T) {
+	t.Parallel()
 	f := smallFleet(t, 3)
 	v := f.vms[0]
 	c := newClient(t)
@@ -177,6 +179,7 @@
 // TestProof04MajorityServes proves that keyed requests are served while the log
 // is down for all, and that a VM cut off from the others refuses them.
 func TestProof04MajorityServes(t *testing.T) {
+	t.Parallel()
 	f := smallFleet(t, 3)
 	c := newClient(t)
 	ask := func(v *vm) string {
--- a/internal/prover/proof05_test.go
+++ b/internal/prover/proof05_test.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// busiest returns the running VM that grants the most slots of the team.
-func (f *fleet) busiest(not ...*vm) *vm {
+// busiestGranter returns the running VM that grants the most slots of the team.
+func (f *fleet) busiestGranter(not ...*vm) *vm {
 	f.t.Helper()
 	var best *vm
 	waitFor(f.t, "a VM grants the team's rate", func() bool {
@@ -133,6 +133,7 @@
 // is added. No window of the upstreams' record holds more than the burst and
 // the rate allow, and no request that was refused as not run has run.
 func TestProof05Rates(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, fleetSpec{
 		vms:       4,
 		upstreams: map[string]int{"fieldbook": 3},
@@ -151,14 +152,14 @@
 		o.start(ctx, v)
 	}
 	time.Sleep(3 * time.Second)
-	frozen := f.busiest()
+	frozen := f.busiestGranter()
 	frozen.freeze()
 	time.Sleep(4 * time.Second)
 	f.granted(frozen)
 	frozen.thaw()
 	time.Sleep(2 * time.Second)
 	f.logFaults(standin.LogFaults{Down: true})
-	killed := f.busiest(frozen)
+	killed := f.busiestGranter(frozen)
 	killed.kill()
 	f.granted(killed)
 	time.Sleep(2 * time.Second)
--- a/internal/prover/proof06_test.go
+++ b/internal/prover/proof06_test.go
@@ -16,6 +16,7 @@
 // TestProof06WholeAnswers has many callers check that each gets the whole
 // answer to its own request, while targets answer late, cut, double and reset.
 func TestProof06WholeAnswers(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, fleetSpec{
 		vms: 2,
 		upstreams: map[string]int{
--- a/internal/prover/proof07_test.go
+++ b/internal/prover/proof07_test.go
@@ -16,6 +16,7 @@
 // was told "not-run" ever ran, while targets drain, shed, hang, reset
 // connections, are killed, and teams go over their rate.
 func TestProof07TrueRefusals(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, fleetSpec{
 		vms: 3,
 		upstreams: map[string]int{
--- a/internal/prover/proof08_test.go
+++ b/internal/prover/proof08_test.go
@@ -18,6 +18,7 @@
 // and targets are killed and the log loses answers or is down. By the targets'
 // records no booking ran more than once.
 func TestProof08AtMostOnce(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, fleetSpec{
 		vms: 4,
 		upstreams: map[string]int{
@@ -124,6 +125,7 @@
 // TestProof08CrashingRequest checks that a request which ends each target that
 // runs it ends at most two in the whole fleet, however often it is sent.
 func TestProof08CrashingRequest(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, fleetSpec{
 		vms: 3,
 		upstreams: map[string]int{
--- a/internal/prover/proof09_test.go
+++ b/internal/prover/proof09_test.go
@@ -22,6 +22,7 @@
 // manifest and one by its own word. None runs a request that began later than
 // the bound, and no caller is refused.
 func TestProof09Leaving(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, fleetSpec{
 		vms: 3,
 		upstreams: map[string]int{
--- a/internal/prover/proof10_test.go
+++ b/internal/prover/proof10_test.go
@@ -74,6 +74,7 @@
 // TestProof10PlannedStop stops every VM in turn under load. No request is cut
 // or refused, and every process ends with exit code 0.
 func TestProof10PlannedStop(t *testing.T) {
+	t.Parallel()
 	const workers = 8
 	f := startFleet(t, fleetSpec{
 		vms: 3,
--- a/internal/prover/proof11_test.go
+++ b/internal/prover/proof11_test.go
@@ -137,6 +137,7 @@
 // within 5 s, also on one that is cut off from the log, after lost answers and
 // after bad records.
 func TestProof11InForce(t *testing.T) {
+	t.Parallel()
 	f := smallFleet(t, 3)
 	reached := watchVersions(t, f)
 	rate := 600
@@ -179,6 +180,7 @@
 // TestProof11Race proves that of operators who race each other one wins, and
 // that the others are told.
 func TestProof11Race(t *testing.T) {
+	t.Parallel()
 	const operators, rounds = 3, 4
 	f := smallFleet(t, 2)
 	for round := range rounds {
@@ -228,6 +230,7 @@
 // TestProof11ReplacedOneByOne proves that the state outlives the replacement of
 // every VM in turn while the log is down.
 func TestProof11ReplacedOneByOne(t *testing.T) {
+	t.Parallel()
 	f := smallFleet(t, 3)
 	version := publishRate(t, f, 700)
 	waitVersion(t, version, f.vms...)
@@ -248,6 +251,7 @@
 // log is down are not ready until it is back, and then start from the snapshot
 // and the records after it.
 func TestProof11ReplacedAtOnce(t *testing.T) {
+	t.Parallel()
 	f := smallFleet(t, 3)
 	version := publishRate(t, f, 700)
 	waitVersion(t, version, f.vms...)
@@ -284,6 +288,7 @@
 // TestProof11Expired proves that a VM which lags behind the oldest kept record
 // comes back, and that a fresh one starts.
 func TestProof11Expired(t *testing.T) {
+	t.Parallel()
 	f := smallFleet(t, 2)
 	version := publishRate(t, f, 700)
 	waitVersion(t, version, f.vms...)
--- a/internal/prover/selfcheck_test.go
+++ b/internal/prover/selfcheck_test.go
@@ -10,6 +10,7 @@
 
 // TestHarness checks that the harness induces the faults that proofs rely on.
 func TestHarness(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, fleetSpec{
 		vms: 1,
 		upstreams: map[string]int{
@@ -59,6 +60,7 @@
 
 // TestRelay checks the faults of the relay itself.
 func TestRelay(t *testing.T) {
+	t.Parallel()
 	u := standin.NewUpstream("u", standin.DefaultSlots)
 	s, err := standin.Listen("127.0.0.1:0", u.Handler())
 	if err != nil {
