Keep the claims of each range apart

Cause: a new holder's question went through all claims of a VM under the ledger's lock, once for each of 256 ranges.

Change: the ledger has a map for each range.

--- a/internal/claimer/ledger.go
+++ b/internal/claimer/ledger.go
@@ -31,11 +31,11 @@
 // the holder to know. It is safe for concurrent use; no call does I/O.
 type Ledger struct {
 	mu sync.Mutex
-	// entries holds each claim once; byName those that are not released, the
-	// first learned first. More than one stand for a key only where a claim was
+	// entries holds each claim once; byName has, for each range, those that are
+	// not released, the first learned first. More than one stand for a key only where a claim was
 	// asked for that was never granted.
 	entries map[ID]*entry
-	byName  map[name][]*entry
+	byName  [member.RangeCount]map[name][]*entry
 	// order holds all entries, the oldest first.
 	order *list.List
 	// volatile holds the entries that were not seen in the log.
@@ -62,13 +62,17 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{
+	l := &Ledger{
 		entries:  map[ID]*entry{},
-		byName:   map[name][]*entry{},
 		order:    list.New(),
 		volatile: map[ID]*entry{},
 		kept:     list.New(),
 	}
+	for r := range l.byName {
+		l.byName[r] = map[name][]*entry{}
+	}
+
+	return l
 }
 
 // Reserve decides about a claim and remembers it if it is granted.
@@ -79,7 +83,7 @@
 	if e, ok := l.entries[c.id]; ok && e.released {
 		return NewDecision(VerdictSent, false, nil)
 	}
-	list := l.byName[c.name()]
+	list := l.byName[c.Range()][c.name()]
 	if len(list) == 0 {
 		l.add(now, c, notLogged)
 
@@ -183,9 +187,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var found []Settlement
-	for _, list := range l.byName {
+	for _, list := range l.byName[r] {
 		for _, e := range list {
-			if (e.offset == notLogged || e.offset >= from || e.answer != nil) && e.claim.Range() == r {
+			if e.offset == notLogged || e.offset >= from || e.answer != nil {
 				found = append(found, NewAnswer(e.claim, e.answer))
 			}
 		}
@@ -211,7 +215,7 @@
 	}
 	e.place = l.order.PushBack(e)
 	l.entries[c.id] = e
-	l.byName[c.name()] = append(l.byName[c.name()], e)
+	l.byName[c.Range()][c.name()] = append(l.byName[c.Range()][c.name()], e)
 	if offset == notLogged {
 		l.volatile[c.id] = e
 	}
@@ -233,9 +237,10 @@
 // unlist takes an entry out of those of its key.
 func (l *Ledger) unlist(e *entry) {
 	n := e.claim.name()
-	l.byName[n] = slices.DeleteFunc(l.byName[n], func(o *entry) bool { return o == e })
-	if len(l.byName[n]) == 0 {
-		delete(l.byName, n)
+	names := l.byName[e.claim.Range()]
+	names[n] = slices.DeleteFunc(names[n], func(o *entry) bool { return o == e })
+	if len(names[n]) == 0 {
+		delete(names, n)
 	}
 }
 
