--- a/internal/handler/message.go
+++ b/internal/handler/message.go
@@ -138,3 +138,11 @@
 
 // Body returns the body.
 func (r *Response) Body() []byte { return r.body }
+
+// Clone returns a copy whose header fields may be changed; the body is shared.
+func (r *Response) Clone() *Response {
+	c := NewResponse(r.status, r.body)
+	c.fields.list = append([]Field(nil), r.fields.list...)
+
+	return c
+}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -52,9 +52,11 @@
 func Events() []Event {
 	return []Event{
 		Started, Stopping, Stopped, Failed,
-		ChangeApplied, ChangeSkipped, LogUnavailable, LogAvailable,
-		StateRestored, KeysStale, KeysFresh, LogBehind, SnapshotMissing, SnapshotWritten, SnapshotFailed,
+		ChangeApplied, ChangeSkipped, LogUnavailable, LogAvailable, StateRestored, KeysStale,
+		KeysFresh, LogBehind, SnapshotMissing, SnapshotWritten, SnapshotFailed,
 		ListUnavailable, EpochBegan, MemberRecordSkipped, ProposalFailed,
+		ClaimsLogged, ClaimsInMemory, ClaimsIncomplete, ClaimsUnreadable,
 		TargetEjected, TargetReduced, TargetReturned, TargetLeaving,
+		Quarantined,
 	}
 }
