--- a/Makefile
+++ b/Makefile
@@ -38,8 +38,9 @@
 	@test -x $(GOBIN)/gofumpt || go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
 	@test -x $(GOBIN)/golangci-lint || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
 
-model: ## Model-check the core protocol (needs spin and gcc; about a minute and a half).
+model: ## Model-check the core protocol and the claims (needs spin and gcc; about a minute and a half).
 	bash model/check.sh
+	bash model/claims.sh
 
 measure: ## Measure the policies; writes JSON files below measure/.
 	mkdir -p measure
