--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -31,6 +31,11 @@
 	Hang bool `json:"hang"`
 	// Drain refuses new requests and says so.
 	Drain bool `json:"drain"`
+	// CutShare, DoubleShare and ResetShare of the answers end early, come
+	// twice, or do not come because the connection is reset.
+	CutShare    float64 `json:"cutShare"`
+	DoubleShare float64 `json:"doubleShare"`
+	ResetShare  float64 `json:"resetShare"`
 }
 
 // Run is the record of one request that a target ran.
@@ -54,6 +59,10 @@
 	waiting int
 	faults  UpstreamFaults
 	runs    []Run
+	// refused counts the requests that were shed or drained away.
+	refused int
+	// journal gets a line for each run; nil without one.
+	journal io.Writer
 }
 
 // NewUpstream returns a target with the given slots.
@@ -70,6 +79,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /_standin/faults", u.setFaults)
 	mux.HandleFunc("GET /_standin/runs", u.listRuns)
+	mux.HandleFunc("GET /_standin/counts", u.listCounts)
 	mux.HandleFunc("/", u.serve)
 
 	return mux
@@ -123,6 +133,7 @@
 	u.leave()
 	defer func() { <-u.slots }()
 	u.record(r)
+	crash(r)
 	u.work(w, r, f, body)
 }
 
@@ -131,6 +142,8 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.faults.Drain || u.waiting >= queueFactor*cap(u.slots) {
+		u.refused++
+
 		return u.faults, false
 	}
 	u.waiting++
@@ -147,6 +160,7 @@
 func (u *Upstream) record(r *http.Request) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.print(r.Header.Get("Test-Token"))
 	u.runs = append(u.runs, Run{
 		Method:   r.Method,
 		Path:     r.URL.RequestURI(),
@@ -179,6 +193,9 @@
 
 		return
 	}
+	if u.spoil(w, r, f) {
+		return
+	}
 	w.Header().Set("Test-Target", u.name)
 	w.Header().Set("Test-Token", r.Header.Get("Test-Token"))
 	writeJSON(w, echoJSON{
