--- a/internal/measurer/health_test.go
+++ b/internal/measurer/health_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -244,23 +246,42 @@
 	return d.Milliseconds()
 }
 
-// BenchmarkHealth prints one JSON line for each policy and scenario.
-func BenchmarkHealth(b *testing.B) {
-	for b.Loop() {
-		for _, s := range scenarios() {
-			for _, p := range healthPolicies() {
-				printJSON(measureHealth(p, s, 5))
-			}
+// TestMeasureHealth writes one JSON line for each policy and scenario.
+func TestMeasureHealth(t *testing.T) {
+	out := measureFile(t, "targets-health.jsonl")
+	for _, s := range scenarios() {
+		for _, p := range healthPolicies() {
+			writeLine(t, out, measureHealth(p, s, 5))
 		}
 	}
 }
 
-func printJSON(v any) {
+// measureFile opens the file for the figures of a measurement.
+func measureFile(t *testing.T, name string) *os.File {
+	t.Helper()
+	dir := os.Getenv("LAGOONKEEL_MEASURE")
+	if dir == "" {
+		t.Skip("a measurement, not a test: run `make measure`")
+	}
+	f, err := os.Create(filepath.Join(dir, name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.Close() })
+
+	return f
+}
+
+func writeLine(t *testing.T, f *os.File, v any) {
+	t.Helper()
 	data, err := json.Marshal(v)
 	if err != nil {
-		panic(err)
+		t.Fatal(err)
+	}
+	if _, err := fmt.Fprintf(f, "%s\n", data); err != nil {
+		t.Fatal(err)
 	}
-	fmt.Println(string(data))
+	t.Logf("%s", data)
 }
 
 // TestHealthAims holds the policy to its aims: a target that is slow, failing
--- a/internal/measurer/picking_test.go
+++ b/internal/measurer/picking_test.go
@@ -145,13 +145,12 @@
 	return r
 }
 
-// BenchmarkPicking prints one JSON line for each policy and load.
-func BenchmarkPicking(b *testing.B) {
-	for b.Loop() {
-		for _, load := range []float64{0.5, 0.8, 0.95, 1.2} {
-			for _, p := range []string{"lagoonkeel", "random", "round robin"} {
-				printJSON(measurePicking(p, load, 3))
-			}
+// TestMeasurePicking writes one JSON line for each policy and load.
+func TestMeasurePicking(t *testing.T) {
+	out := measureFile(t, "targets-picking.jsonl")
+	for _, load := range []float64{0.5, 0.8, 0.95, 1.2} {
+		for _, p := range []string{"lagoonkeel", "random", "round robin"} {
+			writeLine(t, out, measurePicking(p, load, 3))
 		}
 	}
 }
