--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -16,23 +16,18 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/follower"
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
-	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/messenger"
 	"github.com/lagoonkeel/lagoonkeel/internal/meter"
 	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
-	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/internal/tracer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
-// maxFields bounds the header fields of a request.
-const maxFields = 100
-
 // VM is one assembled process.
 type VM struct {
 	settings *configurer.Settings
@@ -112,7 +107,7 @@
 	if err := addClaims(v); err != nil {
 		return nil, err
 	}
-	v.listener = listener.New(open.callers, v.chain(), s.MaxBody(), v.timers)
+	v.listener = listener.New(open.callers, v.chain(filterer.NewForward(v.transport)), s.MaxBody(), v.timers)
 	v.stopper = &stopper{
 		grace:  s.StopGrace(),
 		front:  v.listener,
@@ -167,35 +162,6 @@
 	return open, nil
 }
 
-// chain builds the filter chain in the order in which decisions are made.
-func (v *VM) chain() *handler.Chain {
-	// Freshness is judged again before each attempt: a request may have waited
-	// for its turn, in a queue or in a frozen process, since it was first judged.
-	fresh := filterer.NewFresh(v.follower, v.timers)
-
-	return handler.NewChain(
-		filterer.NewTraceRequest(v.tracer),
-		filterer.NewCount(v.meter, v.timers),
-		filterer.NewLimit(v.settings.MaxBody(), maxFields),
-		filterer.NewReady(v.follower),
-		filterer.NewAuthenticate(v.follower),
-		filterer.NewScrub(),
-		filterer.NewRoute(),
-		fresh,
-		filterer.NewDeadline(),
-		filterer.NewQuarantine(v.quarantine),
-		filterer.NewClaim(v.claims),
-		filterer.NewAdmit(v.borrower, v.tracer),
-		filterer.NewQueue(newQueue(v)),
-		filterer.NewRetry(retrier.New(), v.timers),
-		fresh,
-		filterer.NewCrashWatch(v.quarantine, v.transport),
-		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
-		filterer.NewTraceAttempt(v.tracer),
-		filterer.NewForward(v.transport),
-	)
-}
-
 func (v *VM) members() int {
 	return v.member.View().Size()
 }
--- /dev/null
+++ b/internal/assembler/chain.go
@@ -0,0 +1,40 @@
+package assembler
+
+import (
+	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
+)
+
+// maxFields bounds the header fields of a request.
+const maxFields = 100
+
+// chain builds the filter chain in the order in which decisions are made. The
+// last filter answers the request.
+func (v *VM) chain(last handler.Filter) *handler.Chain {
+	// Freshness is judged again before each attempt: a request may have waited
+	// for its turn, in a queue or in a frozen process, since it was first judged.
+	fresh := filterer.NewFresh(v.follower, v.timers)
+
+	return handler.NewChain(
+		filterer.NewTraceRequest(v.tracer),
+		filterer.NewCount(v.meter, v.timers),
+		filterer.NewLimit(v.settings.MaxBody(), maxFields),
+		filterer.NewReady(v.follower),
+		filterer.NewAuthenticate(v.follower),
+		filterer.NewScrub(),
+		filterer.NewRoute(),
+		fresh,
+		filterer.NewDeadline(),
+		filterer.NewQuarantine(v.quarantine),
+		filterer.NewClaim(v.claims),
+		filterer.NewAdmit(v.borrower, v.tracer),
+		filterer.NewQueue(newQueue(v)),
+		filterer.NewRetry(retrier.New(), v.timers),
+		fresh,
+		filterer.NewCrashWatch(v.quarantine, v.transport),
+		filterer.NewPick(v.targets.balancer, v.targets.drainer, v.timers),
+		filterer.NewTraceAttempt(v.tracer),
+		last,
+	)
+}
--- /dev/null
+++ b/internal/assembler/chain_bench_test.go
@@ -0,0 +1,62 @@
+package assembler_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/assembler"
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/standin"
+)
+
+// instant answers each exchange at once.
+type instant struct {
+	response *handler.Response
+}
+
+func (i *instant) Name() string { return "instant" }
+
+func (i *instant) Handle(_ context.Context, x *handler.Exchange, _ handler.Handler) error {
+	x.SetAttempt(handler.NewAnswered(x.Target(), i.response).Timed(time.Millisecond, true))
+	x.SetResponse(i.response)
+
+	return nil
+}
+
+// BenchmarkChain measures the filter chain of a running VM without the network,
+// for a keyed lookup and for one on an open route.
+func BenchmarkChain(b *testing.B) {
+	up := standin.NewUpstream("f1", standin.DefaultSlots)
+	target := startStandin(b, up.Handler())
+	logBase := "http://" + startStandin(b, standin.NewLog().Handler())
+	listBase := "http://" + startStandin(b, standin.NewVMs().Handler())
+	vm := startVM(b, logBase, listBase)
+	publishManifest(b, logBase, target)
+	waitFor(b, "the manifest is in force", func() bool { return vm.Version() == 0 && vm.Ready() })
+	chain := vm.ChainWith(&instant{
+		response: handler.NewResponse(http.StatusOK, nil),
+	})
+	b.Run("keyed", func(b *testing.B) { runChain(b, vm, chain, "/species/amanita", testKey) })
+	b.Run("open", func(b *testing.B) { runChain(b, vm, chain, "/open", "") })
+}
+
+func runChain(b *testing.B, vm *assembler.VM, chain *handler.Chain, path, key string) {
+	b.Helper()
+	b.ReportAllocs()
+	failed := 0
+	for b.Loop() {
+		r := handler.NewRequest(http.MethodGet, path, "", nil)
+		r.Fields().Add("Host", "fieldbook.example")
+		r.Fields().Add("User-Agent", "benchmark")
+		r.Fields().Add("Accept", "application/json")
+		if key != "" {
+			r.Fields().Add("Lagoonkeel-Key", key)
+		}
+		if chain.Serve(context.Background(), handler.NewExchange(r, vm.Now())) != nil {
+			failed++
+		}
+	}
+	b.ReportMetric(float64(failed)/float64(b.N), "refused/op")
+}
