--- a/internal/handler/refusal.go
+++ b/internal/handler/refusal.go
@@ -37,7 +37,6 @@
 	CodeKeyUnknown     Code = "key-unknown"
 	CodeKeyMisplaced   Code = "key-misplaced"
 	CodeKeysStale      Code = "keys-stale"
-	CodeNotAllowed     Code = "team-not-allowed"
 	CodeOverRate       Code = "over-rate"
 	CodeRateUnknown    Code = "rate-unknown"
 	CodeOverload       Code = "overload"
@@ -65,7 +64,6 @@
 	CodeKeyUnknown:     http.StatusUnauthorized,
 	CodeKeyMisplaced:   http.StatusBadRequest,
 	CodeKeysStale:      http.StatusServiceUnavailable,
-	CodeNotAllowed:     http.StatusForbidden,
 	CodeOverRate:       http.StatusTooManyRequests,
 	CodeRateUnknown:    http.StatusServiceUnavailable,
 	CodeOverload:       http.StatusServiceUnavailable,
