Tell a slow sender 408 slow-request

Cause: a request that did not arrive in time got 400 bad-request after 10 s, as if it had been malformed (seen with a partial header and a partial body). After: 408, not-run, and the connection is closed.

--- a/internal/handler/refusal.go
+++ b/internal/handler/refusal.go
@@ -31,6 +31,7 @@
 	CodeNotReady       Code = "not-ready"
 	CodeBadRequest     Code = "bad-request"
 	CodeTooLarge       Code = "too-large"
+	CodeSlowRequest    Code = "slow-request"
 	CodeNoRoute        Code = "no-route"
 	CodeNoMethod       Code = "method-not-allowed"
 	CodeKeyMissing     Code = "key-missing"
@@ -58,6 +59,7 @@
 	CodeNotReady:       http.StatusServiceUnavailable,
 	CodeBadRequest:     http.StatusBadRequest,
 	CodeTooLarge:       http.StatusRequestEntityTooLarge,
+	CodeSlowRequest:    http.StatusRequestTimeout,
 	CodeNoRoute:        http.StatusNotFound,
 	CodeNoMethod:       http.StatusMethodNotAllowed,
 	CodeKeyMissing:     http.StatusUnauthorized,
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -159,8 +159,14 @@
 	if errors.As(err, &small) || errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		code = handler.CodeTooLarge
 	}
+	reason := "the request could not be read"
+	var network net.Error
+	if errors.As(err, &network) && network.Timeout() {
+		code = handler.CodeSlowRequest
+		reason = "the request did not arrive in time"
+	}
 	c.SetConnectionClose()
-	l.refuse(c, handler.NewRefusal(code, "the request could not be read"))
+	l.refuse(c, handler.NewRefusal(code, reason))
 }
 
 func (l *Listener) refuse(c *fasthttp.RequestCtx, err error) {
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -20,6 +20,9 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
+// patience is longer than any test waits for a request.
+const patience = time.Minute
+
 // echo answers with what reached the chain.
 type echo struct{}
 
@@ -30,13 +33,14 @@
 	return nil
 }
 
-func start(t *testing.T, h handler.Handler) string {
+func start(t *testing.T, h handler.Handler, readTimeout time.Duration) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	l := listener.New(ln, h, 64, timer.NewService())
+	l.SetReadTimeout(readTimeout)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- l.Run(ctx) }()
@@ -94,7 +98,7 @@
 // TestFraming sends well-formed and doubtful requests and compares what each
 // led to with the golden file.
 func TestFraming(t *testing.T) {
-	address := start(t, echo{})
+	address := start(t, echo{}, patience)
 	cases := map[string]string{
 		"01 plain":                       "GET /a HTTP/1.1\r\nHost: x\r\n\r\n",
 		"02 dot segments":                "GET /a/../b%2Fc?d=e HTTP/1.1\r\nHost: x\r\n\r\n",
@@ -151,3 +155,16 @@
 	}
 	goldie.New(t).Assert(t, "framing", []byte(strings.Join(results, "")))
 }
+
+// TestSlowSender sends a part of a request and no more.
+func TestSlowSender(t *testing.T) {
+	address := start(t, echo{}, 200*time.Millisecond)
+	var out strings.Builder
+	for _, part := range []string{
+		"GET /a HTTP/1.1\r\nHos",
+		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc",
+	} {
+		fmt.Fprintf(&out, "%q\n%s", part, raw(t, address, part, false))
+	}
+	goldie.New(t).Assert(t, "slow", []byte(out.String()))
+}
--- a/internal/listener/watch_test.go
+++ b/internal/listener/watch_test.go
@@ -40,7 +40,7 @@
 		entered: make(chan struct{}),
 		gone:    make(chan struct{}),
 	}
-	address := start(t, w)
+	address := start(t, w, patience)
 	c, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
