--- a/internal/commander/cmd_publish.go
+++ b/internal/commander/cmd_publish.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,17 +48,43 @@
 
 func readPublishOptions(c *cobra.Command) (publishOptions, error) {
 	var o publishOptions
-	var errs [5]error
+	var errs [7]error
 	f := c.Flags()
 	o.log, errs[0] = f.GetString("log")
 	o.vms, errs[1] = f.GetString("vms")
 	o.status, errs[2] = f.GetStringSlice("status")
 	o.wait, errs[3] = f.GetDuration("wait")
 	o.dryRun, errs[4] = f.GetBool("dry-run")
+	errs[5], errs[6] = checkBase(o.log), checkBase(o.vms)
 
 	return o, errors.Join(errs[:]...)
 }
 
+// AddressError reports a base address that is not a URL.
+type AddressError struct {
+	address string
+}
+
+// Error implements error.
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("%q is not the base address of a service; name one such as http://10.0.0.9:7000", e.address)
+}
+
+// checkBase accepts an http URL, or nothing.
+func checkBase(address string) error {
+	if address == "" {
+		return nil
+	}
+	u, err := url.Parse(address)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return &AddressError{
+			address: address,
+		}
+	}
+
+	return nil
+}
+
 func publish(ctx context.Context, c *cobra.Command, args []string) error {
 	o, err := readPublishOptions(c)
 	if err != nil {
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -74,14 +74,15 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
-		return usage(err)
-	})
+	began := false
 	for _, c := range commands {
-		root.AddCommand(c.build())
+		root.AddCommand(c.build(&began))
 	}
 	root.SetArgs(args)
-	err := root.ExecuteContext(ctx)
+	c, err := root.ExecuteContextC(ctx)
+	if err != nil && !began {
+		err = usage(errors.Wrapf(err, "see `%s --help`", c.CommandPath()))
+	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 	}
@@ -89,7 +90,9 @@
 	return exitCode(err)
 }
 
-func (c command) build() *cobra.Command {
+// build returns the command for cobra. It sets began once an action begins: a
+// failure before that is the command line's.
+func (c command) build(began *bool) *cobra.Command {
 	b := &cobra.Command{
 		Use:     c.name,
 		Short:   c.line,
@@ -98,23 +101,20 @@
 	if c.args == nil {
 		c.args = cobra.NoArgs
 	}
-	b.Args = func(b *cobra.Command, args []string) error {
-		if err := c.args(b, args); err != nil {
-			return usage(errors.Wrapf(err, "see `%s --help`", b.CommandPath()))
+	b.Args = c.args
+	b.RunE = func(b *cobra.Command, args []string) error {
+		*began = true
+		if c.action == nil {
+			return errors.Wrap(b.Help(), "writing the help")
 		}
 
-		return nil
-	}
-	if c.action != nil {
-		b.RunE = func(b *cobra.Command, args []string) error {
-			return c.action(b.Context(), b, args)
-		}
+		return c.action(b.Context(), b, args)
 	}
 	if c.flags != nil {
 		c.flags(b)
 	}
 	for _, child := range c.children {
-		b.AddCommand(child.build())
+		b.AddCommand(child.build(began))
 	}
 
 	return b
