Let a subscription call back at each tick

Cause: ten controllers had the same loop of ticker, select and end. Behaviour stays: those that work once before the first tick still do.

--- a/internal/claimer/holder.go
+++ b/internal/claimer/holder.go
@@ -10,6 +10,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/member"
 	"github.com/lagoonkeel/lagoonkeel/internal/recorder"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
 const (
@@ -91,16 +92,10 @@
 
 // Run notes who holds the ranges until ctx ends.
 func (h *Holder) Run(ctx context.Context) error {
-	tick := h.timers.Every(notePeriod)
-	defer tick.Stop()
-	for {
-		h.note()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.Due():
-		}
-	}
+	h.note()
+	h.timers.Every(notePeriod).Each(ctx, func(timer.Instant) { h.note() })
+
+	return nil
 }
 
 // note remembers the holder of each range that another VM holds.
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -117,16 +117,9 @@
 
 // Run follows the list until ctx ends.
 func (d *Drainer) Run(ctx context.Context) error {
-	tick := d.timers.Every(stepPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.Due():
-			d.Step(now)
-		}
-	}
+	d.timers.Every(stepPeriod).Each(ctx, d.Step)
+
+	return nil
 }
 
 // Step looks at the list and drops words that have grown old.
--- a/internal/ejector/controller.go
+++ b/internal/ejector/controller.go
@@ -134,16 +134,9 @@
 
 // Run judges until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	tick := c.timers.Every(stepPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.Due():
-			c.Step(now)
-		}
-	}
+	c.timers.Every(stepPeriod).Each(ctx, c.Step)
+
+	return nil
 }
 
 // Receive takes in the report of a peer.
--- a/internal/ejector/exchanger.go
+++ b/internal/ejector/exchanger.go
@@ -74,17 +74,10 @@
 
 // Run sends reports until ctx ends.
 func (e *Exchanger) Run(ctx context.Context) error {
-	tick := e.timers.Every(exchangePeriod)
-	defer tick.Stop()
 	defer e.open.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.Due():
-			e.round(ctx)
-		}
-	}
+	e.timers.Every(exchangePeriod).Each(ctx, func(timer.Instant) { e.round(ctx) })
+
+	return nil
 }
 
 // round sends the present report to every peer that is not behind.
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -259,18 +259,10 @@
 
 // run closes old idle connections until ctx ends, then all idle ones.
 func (p *pool) run(ctx context.Context) error {
-	tick := p.timers.Every(sweepPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			p.sweep(0)
+	p.timers.Every(sweepPeriod).Each(ctx, func(timer.Instant) { p.sweep(maxIdleAge) })
+	p.sweep(0)
 
-			return nil
-		case <-tick.Due():
-			p.sweep(maxIdleAge)
-		}
-	}
+	return nil
 }
 
 // sweep closes the idle connections that are at least as old as age.
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -54,16 +54,9 @@
 
 // Run notes when ranges become active until ctx ends.
 func (g *Granter) Run(ctx context.Context) error {
-	tick := g.clock.Every(observePeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.Due():
-			g.observe()
-		}
-	}
+	g.clock.Every(observePeriod).Each(ctx, func(timer.Instant) { g.observe() })
+
+	return nil
 }
 
 func (g *Granter) observe() {
--- a/internal/member/watcher.go
+++ b/internal/member/watcher.go
@@ -84,16 +84,10 @@
 
 // Run follows the list until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	tick := w.timers.Every(listPeriod)
-	defer tick.Stop()
-	for {
-		w.refresh(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.Due():
-		}
-	}
+	w.refresh(ctx)
+	w.timers.Every(listPeriod).Each(ctx, func(timer.Instant) { w.refresh(ctx) })
+
+	return nil
 }
 
 func (w *Watcher) refresh(ctx context.Context) {
--- a/internal/picker/balancer.go
+++ b/internal/picker/balancer.go
@@ -77,16 +77,10 @@
 
 // Run rebuilds the table until ctx ends.
 func (b *Balancer) Run(ctx context.Context) error {
-	tick := b.timers.Every(rebuildPeriod)
-	defer tick.Stop()
-	for {
-		b.Rebuild()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.Due():
-		}
-	}
+	b.Rebuild()
+	b.timers.Every(rebuildPeriod).Each(ctx, func(timer.Instant) { b.Rebuild() })
+
+	return nil
 }
 
 // Rebuild builds the table of the present state and swaps it in.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -81,17 +81,11 @@
 
 // Run asks the peers until ctx ends.
 func (r *Relayer) Run(ctx context.Context) error {
-	tick := r.timers.Every(askPeriod)
-	defer tick.Stop()
 	defer r.calls.Wait()
-	for {
-		r.askAll(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.Due():
-		}
-	}
+	r.askAll(ctx)
+	r.timers.Every(askPeriod).Each(ctx, func(timer.Instant) { r.askAll(ctx) })
+
+	return nil
 }
 
 func (r *Relayer) askAll(ctx context.Context) {
--- a/internal/snapshotter/snapshotter.go
+++ b/internal/snapshotter/snapshotter.go
@@ -76,16 +76,9 @@
 
 // Run writes snapshots until ctx ends.
 func (s *Snapshotter) Run(ctx context.Context) error {
-	tick := s.timers.Every(checkPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.Due():
-			s.check(ctx)
-		}
-	}
+	s.timers.Every(checkPeriod).Each(ctx, func(timer.Instant) { s.check(ctx) })
+
+	return nil
 }
 
 // OnDuty reports whether self is the first of the view by id.
--- a/internal/timer/queue.go
+++ b/internal/timer/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"time"
 )
 
@@ -24,6 +25,19 @@
 	return s.due
 }
 
+// Each calls f at each tick until ctx ends, and then ends the subscription.
+func (s *Subscription) Each(ctx context.Context, f func(now Instant)) {
+	defer s.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-s.due:
+			f(now)
+		}
+	}
+}
+
 // Stop ends the subscription. It is safe to call more than once.
 func (s *Subscription) Stop() {
 	s.cancel(s)
