Measure each case of retries by itself

Cause: TestMeasureRetries held all four slots for fleets after four cases and waited for good; a run of 150 s ended in the fifth. Each case is now a test of its own.

--- a/internal/prover/measure_retries_test.go
+++ b/internal/prover/measure_retries_test.go
@@ -39,8 +39,10 @@
 		{"one in twenty resets", 8, standin.UpstreamFaults{ResetShare: 0.05}},
 	} {
 		for _, service := range []string{"fieldbook", "bookings"} {
-			got := measureRetries(t, service, s.workers, s.faults)
-			writeMeasurement(t, dir, "retries "+s.name+" "+service, got)
+			t.Run(s.name+" "+service, func(t *testing.T) {
+				got := measureRetries(t, service, s.workers, s.faults)
+				writeMeasurement(t, dir, "retries "+s.name+" "+service, got)
+			})
 		}
 	}
 }
