Find targets that end while they still take a connection

A process that ends closes its connections one by one; a probe between the request's connection and the listener was accepted, so the death was not counted and the next attempt ended the next target. Ruled out: marks between VMs, since one VM's three attempts alone could lose three targets.

Change: a connection that the probe gets must stay open for 30 ms; one that ends is tried again, three times at most. Before: TestRefusesWhileEnding failed in both ending cases.

--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -39,6 +40,10 @@
 	distrustTime = 30 * time.Second
 	// probeTimeout bounds a look whether a target takes connections.
 	probeTimeout = 300 * time.Millisecond
+	// probeTries bounds the connections of one look.
+	probeTries = 3
+	// probeWatch is how long a connection that was taken must stay open.
+	probeWatch = 30 * time.Millisecond
 )
 
 // pool holds the connections to all targets.
@@ -244,19 +249,37 @@
 	}
 }
 
-// refuses reports whether a new connection to the address is refused.
+// refuses reports whether a new connection to the address is refused. A process
+// that ends may still take a connection between closing others and closing its
+// listener; such a connection ends at once, and the next is refused.
 func (p *pool) refuses(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, unix.ECONNREFUSED)
+	for range probeTries {
+		conn, err := p.dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return errors.Is(err, unix.ECONNREFUSED)
+		}
+		if staysOpen(conn) {
+			return false
+		}
 	}
-	_ = conn.Close() // Nothing was sent on it.
 
 	return false
 }
 
+// staysOpen reports whether the peer leaves a new connection open for a moment,
+// and closes it.
+func staysOpen(conn net.Conn) bool {
+	defer conn.Close() //nolint:errcheck // Nothing was sent on it.
+	if err := conn.SetReadDeadline(time.Now().Add(probeWatch)); err != nil {
+		return false
+	}
+	_, err := conn.Read(make([]byte, 1))
+
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // run closes old idle connections until ctx ends, then all idle ones.
 func (p *pool) run(ctx context.Context) error {
 	p.timers.Every(sweepPeriod).Each(ctx, func(timer.Instant) { p.sweep(maxIdleAge) })
