Let one check say what a service's base address is

The same look at an address stood in publish and in the decoder of settings. No behaviour changes: TestCommands and the decoder's golden files pass.

--- a/internal/commander/cmd_publish.go
+++ b/internal/commander/cmd_publish.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -72,17 +71,13 @@
 
 // checkBase accepts an http URL, or nothing.
 func checkBase(address string) error {
-	if address == "" {
+	if address == "" || decoder.ValidBase(address) {
 		return nil
 	}
-	u, err := url.Parse(address)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
-		return &AddressError{
-			address: address,
-		}
-	}
 
-	return nil
+	return &AddressError{
+		address: address,
+	}
 }
 
 func publish(ctx context.Context, c *cobra.Command, args []string) error {
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -126,10 +126,16 @@
 		return ""
 	}
 	s := r.asText(name, v)
-	u, err := url.Parse(s)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+	if !ValidBase(s) {
 		r.collector.add(r.at(name), fmt.Sprintf("%q is not a URL", s), accept)
 	}
 
 	return s
 }
+
+// ValidBase reports whether the text is the http URL of a service.
+func ValidBase(text string) bool {
+	u, err := url.Parse(text)
+
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
