Show the ranges that a VM holds in status

Cause: the table had a column LEASE read from a field that no VM's status has, so it said false for every VM. It shows the number of ranges held instead.

--- a/internal/commander/cmd_status.go
+++ b/internal/commander/cmd_status.go
@@ -62,7 +62,7 @@
 	Fresh   bool   `json:"fresh"`
 	Members int    `json:"members"`
 	Epoch   int64  `json:"epoch"`
-	Lease   bool   `json:"lease"`
+	Ranges  int    `json:"ranges"`
 	// raw is the whole answer.
 	raw []byte
 }
@@ -78,7 +78,7 @@
 	columns := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, columnGap, ' ', 0)
 	if !lines {
 		table.out = columns
-		table.line("ADDRESS\tVM\tVERSION\tNEXT\tREADY\tFRESH\tMEMBERS\tEPOCH\tLEASE")
+		table.line("ADDRESS\tVM\tVERSION\tNEXT\tREADY\tFRESH\tMEMBERS\tEPOCH\tRANGES")
 	}
 	silent := 0
 	for _, address := range args {
@@ -90,7 +90,7 @@
 		case lines:
 			table.line("%s", s.raw)
 		default:
-			table.line("%s\t%s\t%d\t%d\t%v\t%v\t%d\t%d\t%v", address, s.ID, s.Version, s.Next, s.Ready, s.Fresh, s.Members, s.Epoch, s.Lease)
+			table.line("%s\t%s\t%d\t%d\t%v\t%v\t%d\t%d\t%d", address, s.ID, s.Version, s.Next, s.Ready, s.Fresh, s.Members, s.Epoch, s.Ranges)
 		}
 	}
 	if err := errors.Join(table.err, columns.Flush()); err != nil {
