Add routes by host, shared limits, likelihoods and reports for a fleet on the platform's store

Cause: the platform lists targets and configurations in its own store, gives routes a host, a split and attempts, and has no machine to hold a team's rate. Parts that decide are added with no format in them; nothing uses them yet. Existing tests build and pass with the header names of the project's own interface passed in.

--- /dev/null
+++ b/internal/adopter/adopter.go
@@ -0,0 +1,106 @@
+// Package adopter brings configurations of the platform's store into force:
+// whole ones, newest first, never an older one and never one that cannot be
+// used. It knows no encoding.
+package adopter
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// decode reads a configuration.
+type decode func(value []byte) (*manifester.Manifest, error)
+
+// StaleError reports a configuration that is older than the one in force.
+type StaleError struct {
+	version manifester.Version
+	inForce manifester.Version
+}
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("version %d is not newer than version %d, which is in force", e.version, e.inForce)
+}
+
+// Adopter holds the configuration in force. Requests read it through an atomic
+// pointer.
+type Adopter struct {
+	key    string
+	decode decode
+	logger *logger.Logger
+	// manifest is replaced as a whole; never nil.
+	manifest atomic.Pointer[manifester.Manifest]
+}
+
+// New returns an adopter of the configurations under the key.
+func New(key string, d decode, l *logger.Logger) *Adopter {
+	a := &Adopter{
+		key:    key,
+		decode: d,
+		logger: l,
+	}
+	a.manifest.Store(manifester.Empty())
+
+	return a
+}
+
+// Manifest returns the configuration in force.
+func (a *Adopter) Manifest() *manifester.Manifest { return a.manifest.Load() }
+
+// Ready reports whether a configuration is in force.
+func (a *Adopter) Ready() bool { return a.Manifest().Version() != manifester.NoVersion }
+
+// Replace takes in the newest record of every key. It reports whether a
+// configuration is in force after it or none was there.
+func (a *Adopter) Replace(now timer.Instant, records []subscriber.Record) bool {
+	a.Update(now, records)
+	for _, r := range records {
+		if r.Key() == a.key {
+			return a.Ready()
+		}
+	}
+
+	return true
+}
+
+// Update takes in records in the order of their offsets.
+func (a *Adopter) Update(_ timer.Instant, records []subscriber.Record) {
+	for _, r := range records {
+		if r.Key() == a.key && !r.Removed() {
+			a.adopt(r)
+		}
+	}
+}
+
+// Reached implements the subscriber's view; the configuration holds either way.
+func (a *Adopter) Reached(timer.Instant) {}
+
+// Lost implements the subscriber's view; the configuration holds either way.
+func (a *Adopter) Lost(timer.Instant) {}
+
+func (a *Adopter) adopt(r subscriber.Record) {
+	m, err := a.decode(r.Value())
+	if err == nil && m.Version() == a.Manifest().Version() {
+		return // The same record was read twice.
+	}
+	if err == nil && m.Version() < a.Manifest().Version() {
+		err = &StaleError{
+			version: m.Version(),
+			inForce: a.Manifest().Version(),
+		}
+	}
+	if err != nil {
+		a.logger.Log(logger.ConfigSkipped, logger.Int("offset", int64(r.Offset())),
+			logger.Int("inForce", int64(a.Manifest().Version())), logger.Failure(err))
+
+		return
+	}
+	before := a.manifest.Swap(m)
+	a.logger.Log(logger.ConfigTaken, logger.Int("offset", int64(r.Offset())),
+		logger.Int("version", int64(m.Version())), logger.Int("before", int64(before.Version())))
+}
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -15,6 +15,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/follower"
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
@@ -97,7 +98,7 @@
 	if err := addTargets(v); err != nil {
 		return nil, err
 	}
-	v.transport = forwarder.NewTransport(v.timers, v.connections)
+	v.transport = forwarder.NewTransport(v.timers, handler.OwnNames(), v.connections)
 	if err := addConfiguration(v); err != nil {
 		return nil, err
 	}
@@ -107,7 +108,7 @@
 	if err := addClaims(v); err != nil {
 		return nil, err
 	}
-	v.listener = listener.New(open.callers, v.chain(filterer.NewForward(v.transport)), s.MaxBody(), v.timers)
+	v.listener = listener.New(open.callers, v.chain(filterer.NewForward(v.transport)), s.MaxBody(), handler.OwnNames(), v.timers)
 	v.stopper = &stopper{
 		grace:  s.StopGrace(),
 		front:  v.listener,
--- a/internal/assembler/chain.go
+++ b/internal/assembler/chain.go
@@ -25,7 +25,7 @@
 		filterer.NewScrub(),
 		filterer.NewRoute(),
 		fresh,
-		filterer.NewDeadline(),
+		filterer.NewDeadline(handler.OwnNames().Timeout()),
 		filterer.NewQuarantine(v.quarantine),
 		filterer.NewClaim(v.claims),
 		filterer.NewAdmit(v.borrower, v.tracer),
--- /dev/null
+++ b/internal/encoder/report.go
@@ -0,0 +1,54 @@
+package encoder
+
+import (
+	"encoding/binary"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/gossiper"
+)
+
+// ReportFormat is the first byte of a report; it changes with the format.
+const ReportFormat = 1
+
+// Report encodes a report of one VM to the others: whole numbers of varying
+// length, and lists and texts with their length before them.
+func Report(r *gossiper.Report) []byte {
+	b := []byte{ReportFormat}
+	b = binary.AppendUvarint(b, uint64(r.Start()))
+	b = binary.AppendUvarint(b, uint64(r.Sequence()))
+	b = append(b, flag(r.Leaving()))
+	b = binary.AppendUvarint(b, uint64(len(r.Counts())))
+	for _, c := range r.Counts() {
+		b = binary.BigEndian.AppendUint32(b, uint32(c.Account()))
+		b = binary.AppendUvarint(b, uint64(c.Asked()))
+		b = binary.AppendUvarint(b, uint64(c.Used()))
+	}
+	b = binary.AppendUvarint(b, uint64(len(r.Loads())))
+	for _, l := range r.Loads() {
+		b = binary.BigEndian.AppendUint32(b, l.Service())
+		b = binary.AppendUvarint(b, uint64(l.Open()))
+	}
+	b = binary.AppendUvarint(b, uint64(len(r.Evidence())))
+	for _, e := range r.Evidence() {
+		b = binary.BigEndian.AppendUint32(b, uint32(e.Target()))
+		b = append(b, byte(e.Outcome()))
+	}
+	b = binary.AppendUvarint(b, uint64(len(r.Marks())))
+	for _, m := range r.Marks() {
+		b = appendText(b, string(m.Fingerprint()))
+		b = appendText(b, m.Target())
+	}
+
+	return b
+}
+
+func flag(v bool) byte {
+	if v {
+		return 1
+	}
+
+	return 0
+}
+
+func appendText(b []byte, s string) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+}
--- a/internal/filterer/route.go
+++ b/internal/filterer/route.go
@@ -21,7 +21,7 @@
 
 // Handle finds the route.
 func (r *Route) Handle(ctx context.Context, x *handler.Exchange, next handler.Handler) error {
-	route, match := x.Manifest().FindRoute(x.Request().Method(), x.Request().Path())
+	route, match := x.Manifest().FindRoute(x.Request().Host(), x.Request().Method(), x.Request().Path())
 	switch match {
 	case manifester.MatchNone:
 		return handler.NewRefusal(handler.CodeNoRoute, "no route matches the path")
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -45,13 +45,15 @@
 type Transport struct {
 	clock clock
 	pool  *pool
+	names *handler.Names
 }
 
 // NewTransport returns a transport without connections. The bound of
 // connections to a target is asked for each new connection.
-func NewTransport(t ticker, bound func(target *manifester.Target) int) *Transport {
+func NewTransport(t ticker, n *handler.Names, bound func(target *manifester.Target) int) *Transport {
 	return &Transport{
 		clock: t,
+		names: n,
 		pool:  newPool(t, bound),
 	}
 }
@@ -138,7 +140,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	start := t.clock.Now()
 	left := x.Deadline().Sub(start)
-	fill(req, x.Target().Address(), x.Request(), left)
+	fill(req, t.names, x.Target(), x.Request(), left)
 	c.begin(left)
 	if err := write(c, req); err != nil {
 		return t.failed(ctx, c, x.Target(), start, err)
@@ -153,14 +155,18 @@
 	firstByte := t.clock.Now().Sub(start)
 	c.begin(x.Deadline().Sub(t.clock.Now()))
 	resp.SkipBody = req.Header.IsHead()
-	if err := read(c.reader, resp); err != nil {
+	if err := t.read(c, resp); err != nil {
 		return t.failed(ctx, c, x.Target(), start, err)
 	}
+	if foreign(t.names, x.Request(), resp) || unsigned(t.names, resp) {
+		return handler.NewFailed(x.Target(), handler.FaultMalformed,
+			handler.NewUnknown(handler.CodeUpstream, "the target's answer belongs to another request or lacks its mark")).Timed(firstByte, c.reused)
+	}
 	if !resp.ConnectionClose() && c.reader.Buffered() == 0 {
 		c.finished()
 	}
 
-	return answered(x.Target(), resp).Timed(firstByte, c.reused)
+	return t.answered(x.Target(), resp).Timed(firstByte, c.reused)
 }
 
 func write(c *connection, req *fasthttp.Request) error {
@@ -199,7 +205,8 @@
 }
 
 // read reads one final answer. The first byte is already buffered.
-func read(r *bufio.Reader, resp *fasthttp.Response) error {
+func (t *Transport) read(c *connection, resp *fasthttp.Response) error {
+	r := c.reader
 	if err := readFinalHeader(r, resp); err != nil {
 		return err
 	}
@@ -213,11 +220,14 @@
 		unknown = -2
 	)
 	length := resp.Header.ContentLength()
-	if length == unknown {
+	if length == unknown && !t.names.Verbatim() {
 		return &truncatedError{
 			cause: &unframedError{},
 		}
 	}
+	if length == unknown {
+		resp.SetConnectionClose() // Its end is the end of the answer.
+	}
 	if err := resp.ReadBody(r, maxAnswerBytes); err != nil {
 		return &truncatedError{
 			cause: err,
@@ -258,7 +268,14 @@
 }
 
 // answered returns the attempt of a whole answer.
-func answered(target *manifester.Target, resp *fasthttp.Response) *handler.Attempt {
+func (t *Transport) answered(target *manifester.Target, resp *fasthttp.Response) *handler.Attempt {
+	if t.names.NotRun() != "" {
+		if a := t.refused(target, resp); a != nil {
+			return a
+		}
+
+		return handler.NewAnswered(target, answer(resp))
+	}
 	if resp.StatusCode() == fasthttp.StatusServiceUnavailable {
 		switch string(resp.Header.Peek(stateField)) {
 		case stateShed:
@@ -271,6 +288,18 @@
 	return handler.NewAnswered(target, answer(resp))
 }
 
+// refused returns the attempt that the target says it did not run, or nil.
+func (t *Transport) refused(target *manifester.Target, resp *fasthttp.Response) *handler.Attempt {
+	switch {
+	case resp.StatusCode() == fasthttp.StatusMisdirectedRequest:
+		return handler.NewFailed(target, handler.FaultMisdirected, handler.NewRefusal(handler.CodeNoTarget, "another target has the address"))
+	case len(resp.Header.Peek(t.names.NotRun())) > 0:
+		return handler.NewFailed(target, handler.FaultShed, handler.NewRefusal(handler.CodeShed, "the target did not run the request"))
+	default:
+		return nil
+	}
+}
+
 // failed returns the attempt that ended with err. Whatever the error, the
 // request may have run once a byte of it was handed to the kernel.
 func (t *Transport) failed(ctx context.Context, c *connection, target *manifester.Target, start timer.Instant, err error) *handler.Attempt {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -125,7 +125,7 @@
 	t.Helper()
 	s := timer.NewService()
 
-	return forwarder.NewTransport(s, func(*manifester.Target) int { return bound }), s
+	return forwarder.NewTransport(s, handler.OwnNames(), func(*manifester.Target) int { return bound }), s
 }
 
 func describe(a *handler.Attempt) string {
--- /dev/null
+++ b/internal/gossiper/gossiper.go
@@ -0,0 +1,331 @@
+// Package gossiper tells the other VMs what this one sees and uses, and takes
+// in what they tell. A report is one datagram: what was lost is made good by
+// the next, and nothing waits for an answer.
+package gossiper
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
+	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
+	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+)
+
+const (
+	// period is the time between two reports of a VM that has something to tell.
+	period = 500 * time.Millisecond
+	// quietTurns is the number of periods after which a VM without news tells
+	// that it is there.
+	quietTurns = 2
+	// distantTurns is the number of periods between two reports to a VM that has
+	// not been heard for long.
+	distantTurns = 8
+	// maxDatagram bounds a report in bytes.
+	maxDatagram = 8 << 10
+	// maxEvidence bounds the evidence of one report.
+	maxEvidence = 200
+)
+
+type clock interface {
+	Now() timer.Instant
+	Every(d time.Duration) *timer.Subscription
+}
+
+// codec encodes reports for the other VMs.
+type codec interface {
+	Encode(r *Report) []byte
+	Decode(data []byte) (*Report, error)
+}
+
+// listener takes in what other VMs saw.
+type listener interface {
+	Hear(now timer.Instant, k estimator.Key, o estimator.Outcome)
+}
+
+// quarantine takes in what other VMs tell about requests that end targets.
+type quarantine interface {
+	Apply(m quarantiner.Mark)
+}
+
+// loads returns the open requests of this VM.
+type loads func() []Load
+
+// Spec lists what a gossiper is joined with.
+type Spec struct {
+	// Conn is the socket of the VM, and Self its address as others know it.
+	Conn       net.PacketConn
+	Self       string
+	Start      uint32
+	Codec      codec
+	Clock      clock
+	Tallier    *tallier.Tallier
+	Evidence   listener
+	Quarantine quarantine
+	Loads      loads
+	Logger     *logger.Logger
+}
+
+// Gossiper is the controller of the reports.
+type Gossiper struct {
+	spec Spec
+	// mu guards what follows.
+	mu       sync.Mutex
+	roster   *roster
+	sequence uint32
+	turns    int
+	// pending is the evidence that the next report tells.
+	pending []Evidence
+}
+
+// New returns a gossiper that knows no other VM.
+func New(s Spec) *Gossiper {
+	return &Gossiper{
+		spec:   s,
+		roster: newRoster(),
+	}
+}
+
+// Name returns the controller's name.
+func (g *Gossiper) Name() string { return "gossiper" }
+
+// Run reports and listens until ctx ends.
+func (g *Gossiper) Run(ctx context.Context) error {
+	ended := make(chan error, 1)
+	go func() {
+		ended <- g.listen()
+	}()
+	g.spec.Clock.Every(period).Each(ctx, g.turn)
+	g.Leave(ctx)
+	err := g.spec.Conn.Close()
+
+	return errors.CombineErrors(errors.Wrap(err, "closing the socket of reports"), <-ended)
+}
+
+// Leave tells the others that this VM stops.
+func (g *Gossiper) Leave(context.Context) {
+	now := g.spec.Clock.Now()
+	g.mu.Lock()
+	r := g.report(now)
+	r.leaving = true
+	to := g.near(now)
+	g.mu.Unlock()
+	g.send(r, to)
+}
+
+// Saw notes an attempt of this VM. A failure is told at once: the others are
+// about to choose the same target.
+func (g *Gossiper) Saw(k estimator.Key, o estimator.Outcome) {
+	now := g.spec.Clock.Now()
+	e := NewEvidence(k, o)
+	g.mu.Lock()
+	if o == estimator.OutcomeServed {
+		if len(g.pending) < maxEvidence {
+			g.pending = append(g.pending, e)
+		}
+		g.mu.Unlock()
+
+		return
+	}
+	r := g.brief()
+	r.evidence = []Evidence{e}
+	to := g.near(now)
+	g.mu.Unlock()
+	g.send(r, to)
+}
+
+// Spread tells the others about a request that ends targets, or does not.
+func (g *Gossiper) Spread(_ context.Context, m quarantiner.Mark) {
+	now := g.spec.Clock.Now()
+	g.mu.Lock()
+	r := g.brief()
+	r.marks = []quarantiner.Mark{m}
+	to := g.near(now)
+	g.mu.Unlock()
+	g.send(r, to)
+}
+
+// Census returns how many VMs, this one included, are heard and known.
+func (g *Gossiper) Census() (heard, known int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.roster.census(g.spec.Clock.Now())
+}
+
+// Open returns the number of open requests of the other VMs at the service,
+// which is given by its number.
+func (g *Gossiper) Open(service uint32) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.roster.open(g.spec.Clock.Now(), service)
+}
+
+// Replace takes in the addresses of all VMs.
+func (g *Gossiper) Replace(now timer.Instant, records []subscriber.Record) bool {
+	g.Update(now, records)
+
+	return true
+}
+
+// Update takes in addresses of VMs.
+func (g *Gossiper) Update(now timer.Instant, records []subscriber.Record) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range records {
+		if _, err := netip.ParseAddrPort(r.Key()); err == nil && r.Key() != g.spec.Self && !r.Removed() {
+			g.roster.add(now, r.Key())
+		}
+	}
+}
+
+// Reached implements the subscriber's view.
+func (g *Gossiper) Reached(timer.Instant) {}
+
+// Lost implements the subscriber's view.
+func (g *Gossiper) Lost(timer.Instant) {}
+
+// turn reports to the others.
+func (g *Gossiper) turn(now timer.Instant) {
+	counts := g.spec.Tallier.Turn(now)
+	open := g.spec.Loads()
+	g.mu.Lock()
+	g.turns++
+	r := g.report(now)
+	r.counts = counts
+	r.loads = open
+	to := g.near(now)
+	if g.turns%distantTurns == 0 {
+		to = g.all()
+	}
+	heard, known := g.roster.census(now)
+	quiet := len(counts) == 0 && len(open) == 0 && len(r.evidence) == 0 && g.turns%quietTurns != 0
+	g.mu.Unlock()
+	g.spec.Tallier.Attend(heard, known)
+	if !quiet {
+		g.send(r, to)
+	}
+}
+
+// brief returns the next report without content; the lock must be held.
+func (g *Gossiper) brief() *Report {
+	g.sequence++
+
+	return NewReport(ReportSpec{
+		Start:    g.spec.Start,
+		Sequence: g.sequence,
+	})
+}
+
+// report returns the next report with the pending evidence; the lock must be
+// held.
+func (g *Gossiper) report(timer.Instant) *Report {
+	r := g.brief()
+	r.evidence = g.pending
+	g.pending = nil
+
+	return r
+}
+
+// near returns the VMs that were heard lately or are new.
+func (g *Gossiper) near(now timer.Instant) []string {
+	to := make([]string, 0, len(g.roster.peers))
+	for _, p := range g.roster.peers {
+		if now.Sub(max(p.heard, p.added)) <= absence && !p.left {
+			to = append(to, p.address)
+		}
+	}
+
+	return to
+}
+
+func (g *Gossiper) all() []string {
+	to := make([]string, 0, len(g.roster.peers))
+	for _, p := range g.roster.peers {
+		to = append(to, p.address)
+	}
+
+	return to
+}
+
+// send sends the report to each address. A datagram that cannot be sent counts
+// as lost on the way.
+func (g *Gossiper) send(r *Report, to []string) {
+	data := g.spec.Codec.Encode(r)
+	for _, a := range to {
+		address, err := netip.ParseAddrPort(a)
+		if err != nil {
+			continue // Only valid addresses are added.
+		}
+		_, _ = g.spec.Conn.WriteTo(data, net.UDPAddrFromAddrPort(address))
+	}
+}
+
+// listen takes in reports until the socket is closed.
+func (g *Gossiper) listen() error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := g.spec.Conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue // An earlier datagram was refused by its address.
+		}
+		r, err := g.spec.Codec.Decode(buffer[:n])
+		if err != nil {
+			g.spec.Logger.Log(logger.ReportSkipped, logger.Text("from", from.String()), logger.Failure(err))
+
+			continue
+		}
+		g.hear(from.String(), r)
+	}
+}
+
+// hear takes in a report.
+func (g *Gossiper) hear(from string, r *Report) {
+	now := g.spec.Clock.Now()
+	type use struct {
+		account     tallier.Account
+		asked, used uint32
+	}
+	var uses []use
+	g.mu.Lock()
+	p := g.roster.add(now, from)
+	news := p.accept(now, r)
+	if news {
+		for _, c := range r.counts {
+			asked, used := p.delta(c)
+			uses = append(uses, use{
+				account: c.Account(),
+				asked:   asked,
+				used:    used,
+			})
+		}
+		if len(r.loads) > 0 || len(r.counts) > 0 {
+			p.loads = r.loads
+		}
+	}
+	g.mu.Unlock()
+	if !news {
+		return
+	}
+	for _, u := range uses {
+		g.spec.Tallier.Hear(now, u.account, u.asked, u.used)
+	}
+	for _, e := range r.evidence {
+		g.spec.Evidence.Hear(now, e.target, e.outcome)
+	}
+	for _, m := range r.marks {
+		g.spec.Quarantine.Apply(m)
+	}
+}
--- /dev/null
+++ b/internal/gossiper/report.go
@@ -0,0 +1,107 @@
+package gossiper
+
+import (
+	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
+	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
+	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
+)
+
+// Evidence is one attempt at a target.
+type Evidence struct {
+	target  estimator.Key
+	outcome estimator.Outcome
+}
+
+// NewEvidence returns the evidence of one attempt.
+func NewEvidence(target estimator.Key, o estimator.Outcome) Evidence {
+	return Evidence{
+		target:  target,
+		outcome: o,
+	}
+}
+
+// Target returns the target.
+func (e Evidence) Target() estimator.Key { return e.target }
+
+// Outcome returns the outcome.
+func (e Evidence) Outcome() estimator.Outcome { return e.outcome }
+
+// Load is the number of requests that one VM has open at the targets of a
+// service.
+type Load struct {
+	service uint32
+	open    uint32
+}
+
+// NewLoad returns a load; the service is given by its number.
+func NewLoad(service, open uint32) Load {
+	return Load{
+		service: service,
+		open:    open,
+	}
+}
+
+// Service returns the number of the service.
+func (l Load) Service() uint32 { return l.service }
+
+// Open returns the number of open requests.
+func (l Load) Open() uint32 { return l.open }
+
+// Report is what one VM tells the others.
+type Report struct {
+	// start tells the starts of a VM apart.
+	start uint32
+	// sequence numbers the reports of one start from 1.
+	sequence uint32
+	// leaving is set in the last report of a VM that stops.
+	leaving  bool
+	counts   []tallier.Count
+	loads    []Load
+	evidence []Evidence
+	marks    []quarantiner.Mark
+}
+
+// ReportSpec lists the attributes of a report.
+type ReportSpec struct {
+	Start    uint32
+	Sequence uint32
+	Leaving  bool
+	Counts   []tallier.Count
+	Loads    []Load
+	Evidence []Evidence
+	Marks    []quarantiner.Mark
+}
+
+// NewReport returns a report.
+func NewReport(s ReportSpec) *Report {
+	return &Report{
+		start:    s.Start,
+		sequence: s.Sequence,
+		leaving:  s.Leaving,
+		counts:   s.Counts,
+		loads:    s.Loads,
+		evidence: s.Evidence,
+		marks:    s.Marks,
+	}
+}
+
+// Start returns the number that tells the starts of the VM apart.
+func (r *Report) Start() uint32 { return r.start }
+
+// Sequence returns the number of the report.
+func (r *Report) Sequence() uint32 { return r.sequence }
+
+// Leaving reports whether the VM stops.
+func (r *Report) Leaving() bool { return r.leaving }
+
+// Counts returns the counts that changed.
+func (r *Report) Counts() []tallier.Count { return r.counts }
+
+// Loads returns the open requests of each service that has some.
+func (r *Report) Loads() []Load { return r.loads }
+
+// Evidence returns the attempts since the report before.
+func (r *Report) Evidence() []Evidence { return r.evidence }
+
+// Marks returns what the VM tells about requests that end targets.
+func (r *Report) Marks() []quarantiner.Mark { return r.marks }
--- /dev/null
+++ b/internal/gossiper/roster.go
@@ -0,0 +1,133 @@
+package gossiper
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+)
+
+const (
+	// silence is how long a VM may be unheard before it counts as cut off.
+	silence = 1600 * time.Millisecond
+	// absence is how long a VM may be unheard before it counts as gone, as long
+	// as most others are heard.
+	absence = 12 * time.Second
+)
+
+// peer is another VM.
+type peer struct {
+	address string
+	// heard is when it was last heard; 0 before the first time.
+	heard timer.Instant
+	// added is when this VM first knew of it.
+	added    timer.Instant
+	start    uint32
+	sequence uint32
+	// counts are the last counts of the peer's present start.
+	counts map[tallier.Account]tallier.Count
+	loads  []Load
+	left   bool
+}
+
+// roster holds the other VMs. It belongs to the gossiper's lock.
+type roster struct {
+	peers map[string]*peer
+}
+
+func newRoster() *roster {
+	return &roster{
+		peers: map[string]*peer{},
+	}
+}
+
+// add returns the peer of the address, which may be new.
+func (r *roster) add(now timer.Instant, address string) *peer {
+	p, ok := r.peers[address]
+	if !ok {
+		p = &peer{
+			address: address,
+			added:   now,
+			counts:  map[tallier.Account]tallier.Count{},
+		}
+		r.peers[address] = p
+	}
+
+	return p
+}
+
+// accept takes in the head of a report and reports whether it is news.
+func (p *peer) accept(now timer.Instant, t *Report) bool {
+	if t.start != p.start {
+		if p.start != 0 && t.sequence > p.sequence && t.start < p.start {
+			return false // A late report of an earlier start.
+		}
+		p.start = t.start
+		p.sequence = 0
+		p.counts = map[tallier.Account]tallier.Count{}
+	}
+	if t.sequence == p.sequence {
+		return false
+	}
+	p.sequence = max(p.sequence, t.sequence)
+	p.heard = now
+	p.left = t.leaving
+
+	return true
+}
+
+// delta returns what the peer asked for and used since its last word, and notes
+// it.
+func (p *peer) delta(c tallier.Count) (asked, used uint32) {
+	old := p.counts[c.Account()]
+	if c.Asked() < old.Asked() || c.Used() < old.Used() {
+		return 0, 0 // A report that was overtaken by a newer one.
+	}
+	p.counts[c.Account()] = c
+
+	return c.Asked() - old.Asked(), c.Used() - old.Used()
+}
+
+// audible reports whether the peer was heard lately.
+func (p *peer) audible(now timer.Instant) bool {
+	return p.heard != 0 && now.Sub(p.heard) <= silence
+}
+
+// census counts the VMs, this one included, that are heard and that are known.
+// VMs that are gone count only while this VM does not hear most of the others:
+// then it may be the one that is cut off.
+func (r *roster) census(now timer.Instant) (heard, known int) {
+	heard, known, gone := 1, 1, 0
+	for _, p := range r.peers {
+		switch {
+		case p.audible(now) && !p.left:
+			heard++
+			known++
+		case p.left || now.Sub(max(p.heard, p.added)) > absence:
+			gone++
+		default:
+			known++
+		}
+	}
+	if 2*heard <= known+gone {
+		known += gone
+	}
+
+	return heard, known
+}
+
+// open returns the number of open requests of the other VMs at the service.
+func (r *roster) open(now timer.Instant, service uint32) int {
+	n := 0
+	for _, p := range r.peers {
+		if !p.audible(now) {
+			continue
+		}
+		if i := slices.IndexFunc(p.loads, func(l Load) bool { return l.service == service }); i >= 0 {
+			n += int(p.loads[i].open)
+		}
+	}
+
+	return n
+}
--- a/internal/handler/attempt.go
+++ b/internal/handler/attempt.go
@@ -27,6 +27,9 @@
 	// FaultDraining means that the target takes no more work and did not run
 	// the request.
 	FaultDraining Fault = "draining"
+	// FaultMisdirected means that another target has the address; it did not
+	// run the request.
+	FaultMisdirected Fault = "misdirected"
 	// FaultSlow means that no whole answer came in time.
 	FaultSlow Fault = "slow"
 	// FaultReset means that the connection ended before the first byte of an
--- a/internal/handler/message.go
+++ b/internal/handler/message.go
@@ -1,6 +1,12 @@
 package handler
 
-import "strings"
+import (
+	"net"
+	"strings"
+)
+
+// hostField names the host that a request is for.
+const hostField = "Host"
 
 // Field is one header field.
 type Field struct {
@@ -109,6 +115,16 @@
 // Query returns the raw query.
 func (r *Request) Query() string { return r.query }
 
+// Host returns the host that the caller asked for, without a port.
+func (r *Request) Host() string {
+	host := r.fields.Get(hostField)
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+
+	return host
+}
+
 // Fields returns the header fields, which the caller may change.
 func (r *Request) Fields() *Fields { return &r.fields }
 
--- a/internal/handler/refusal.go
+++ b/internal/handler/refusal.go
@@ -143,6 +143,21 @@
 // Code returns the kind of refusal.
 func (r *Refusal) Code() Code { return r.code }
 
+// Status returns the HTTP status of the refusal. A status that promises that
+// the request did not run becomes 502 where it may have run.
+func (r *Refusal) Status() int {
+	s := r.code.Status()
+	if r.outcome == OutcomeNotRun {
+		return s
+	}
+	switch s {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return http.StatusBadGateway
+	default:
+		return s
+	}
+}
+
 // Reason returns the text for the caller; it holds no secret.
 func (r *Refusal) Reason() string { return r.reason }
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,8 @@
 	headerBytes = 16 << 10
 	// stopTimeout bounds how long a planned stop waits for open requests.
 	stopTimeout = time.Minute
+	// retryDigits are the decimals of a waiting time in seconds.
+	retryDigits = 3
 )
 
 type clock interface {
@@ -37,8 +40,12 @@
 type Listener struct {
 	chain  handler.Handler
 	clock  clock
+	// names tell whether paths are passed on as received.
+	names  *handler.Names
 	ln     net.Listener
 	server *fasthttp.Server
+	// stopTimeout bounds how long a planned stop waits for open requests.
+	stopTimeout time.Duration
 	// draining is set once a planned stop began: each answer then asks the
 	// caller to use another connection.
 	draining atomic.Bool
@@ -47,12 +54,14 @@
 }
 
 // New returns a front end on the listener that passes exchanges to the chain.
-func New(ln net.Listener, chain handler.Handler, maxBody int, c clock) *Listener {
+func New(ln net.Listener, chain handler.Handler, maxBody int, n *handler.Names, c clock) *Listener {
 	l := &Listener{
-		chain: chain,
-		clock: c,
-		ln:    ln,
-		base:  context.Background(),
+		chain:       chain,
+		clock:       c,
+		names:       n,
+		ln:          ln,
+		base:        context.Background(),
+		stopTimeout: stopTimeout,
 	}
 	l.server = &fasthttp.Server{
 		Handler:                      l.serve,
@@ -101,7 +110,7 @@
 		return errors.Wrap(err, "serving callers")
 	case <-ctx.Done():
 	}
-	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.stopTimeout)
 	defer cancel()
 
 	return errors.Wrap(l.server.ShutdownWithContext(stop), "stopping the callers' listener")
@@ -117,7 +126,7 @@
 	if l.draining.Load() {
 		c.SetConnectionClose()
 	}
-	x := handler.NewExchange(request(c), l.clock.Now())
+	x := handler.NewExchange(l.request(c), l.clock.Now())
 	ctx, w := watch(l.base, c.Conn())
 	err := l.chain.Serve(ctx, x)
 	w.stop()
@@ -129,13 +138,22 @@
 	l.answer(c, x.Response())
 }
 
-func request(c *fasthttp.RequestCtx) *handler.Request {
-	r := handler.NewRequest(
-		string(c.Method()),
-		string(c.URI().Path()),
-		string(c.URI().QueryString()),
-		append([]byte(nil), c.Request.Body()...),
-	)
+// retryAfter renders the time that a caller should wait: whole seconds as the
+// standard has it, or with a fraction where callers take one.
+func (l *Listener) retryAfter(w time.Duration) string {
+	if l.names.Verbatim() {
+		return strconv.FormatFloat(w.Seconds(), 'f', retryDigits, 64)
+	}
+
+	return strconv.Itoa(int(math.Ceil(w.Seconds())))
+}
+
+func (l *Listener) request(c *fasthttp.RequestCtx) *handler.Request {
+	path, query := string(c.URI().Path()), string(c.URI().QueryString())
+	if l.names.Verbatim() {
+		path, query, _ = strings.Cut(string(c.Request.Header.RequestURI()), "?")
+	}
+	r := handler.NewRequest(string(c.Method()), path, query, append([]byte(nil), c.Request.Body()...))
 	for k, v := range c.Request.Header.All() {
 		r.Fields().Add(string(k), string(v))
 	}
@@ -178,11 +196,11 @@
 	if err != nil {
 		body = nil
 	}
-	c.Response.SetStatusCode(r.Code().Status())
+	c.Response.SetStatusCode(r.Status())
 	c.Response.Header.SetContentType("application/json")
 	c.Response.Header.Set(handler.OutcomeField, string(r.Outcome()))
 	if w := r.RetryAfter(); w > 0 {
-		c.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(w.Seconds()))))
+		c.Response.Header.Set("Retry-After", l.retryAfter(w))
 	}
 	c.Response.SetBodyRaw(body)
 }
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := listener.New(ln, h, 64, timer.NewService())
+	l := listener.New(ln, h, 64, handler.OwnNames(), timer.NewService())
 	l.SetReadTimeout(readTimeout)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -38,13 +38,23 @@
 	SnapshotMissing     = Event{number: 208, level: LevelAlarm, name: "snapshot-missing", meaning: "Records that the VM needs have expired and the log holds no complete snapshot; the VM waits for a peer."}
 	SnapshotWritten     = Event{number: 209, level: LevelInfo, name: "snapshot-written", meaning: "This VM appended a whole snapshot of the configuration to the log."}
 	SnapshotFailed      = Event{number: 210, level: LevelWarn, name: "snapshot-failed", meaning: "A snapshot could not be appended; the VM on duty tries again."}
+	StoreLost           = Event{number: 211, level: LevelWarn, name: "store-lost", meaning: "The platform's store does not answer reads of the topic; the VM goes on with what it has."}
+	StoreRegained       = Event{number: 212, level: LevelInfo, name: "store-regained", meaning: "The platform's store answers reads of the topic again."}
+	ConfigTaken         = Event{number: 213, level: LevelInfo, name: "config-taken", meaning: "A configuration of the store is in force on this VM."}
+	ConfigSkipped       = Event{number: 214, level: LevelWarn, name: "config-skipped", meaning: "A configuration of the store cannot be used; the last usable one stays in force."}
 	ListUnavailable     = Event{number: 300, level: LevelWarn, name: "list-unavailable", meaning: "The platform's VM list does not answer; the VM keeps the last one."}
 	EpochBegan          = Event{number: 301, level: LevelInfo, name: "epoch-began", meaning: "The membership changed or was renewed; holders wait out older leases where they must."}
 	MemberRecordSkipped = Event{number: 302, level: LevelInfo, name: "member-record-skipped", meaning: "A record of the members stream lost a race or is not allowed; every VM skips it."}
 	ProposalFailed      = Event{number: 303, level: LevelWarn, name: "proposal-failed", meaning: "A join, removal or renewal could not be appended; the VM tries again."}
+	ReportSkipped       = Event{number: 304, level: LevelWarn, name: "report-skipped", meaning: "A report of another VM cannot be read and is passed over."}
 	TargetEjected       = Event{number: 500, level: LevelWarn, name: "target-ejected", meaning: "A target gets trial requests only; scope path means from this VM alone."}
 	TargetReduced       = Event{number: 501, level: LevelInfo, name: "target-reduced", meaning: "A target gets a part of its work."}
 	TargetReturned      = Event{number: 502, level: LevelInfo, name: "target-returned", meaning: "A target gets all its work again, after a warm-up if it was ejected."}
+	TargetListed        = Event{number: 504, level: LevelInfo, name: "target-listed", meaning: "The store lists a target that may get work."}
+	TargetGone          = Event{number: 505, level: LevelInfo, name: "target-gone", meaning: "The store no longer lists a target; it gets no new work."}
+	TargetSkipped       = Event{number: 506, level: LevelWarn, name: "target-skipped", meaning: "An entry of the list of targets cannot be used; the others hold."}
+	TargetSuspected     = Event{number: 507, level: LevelWarn, name: "target-suspected", meaning: "Evidence of the fleet says that the target probably fails; it gets work only where nothing better is left."}
+	TargetTrusted       = Event{number: 508, level: LevelInfo, name: "target-trusted", meaning: "Evidence of the fleet says that the target probably works."}
 	TargetLeaving       = Event{number: 503, level: LevelInfo, name: "target-leaving", meaning: "A target is leaving and gets no new work."}
 )
 
@@ -54,9 +64,11 @@
 		Started, Stopping, Stopped, Failed,
 		ChangeApplied, ChangeSkipped, LogUnavailable, LogAvailable, StateRestored, KeysStale,
 		KeysFresh, LogBehind, SnapshotMissing, SnapshotWritten, SnapshotFailed,
-		ListUnavailable, EpochBegan, MemberRecordSkipped, ProposalFailed,
+		StoreLost, StoreRegained, ConfigTaken, ConfigSkipped,
+		ListUnavailable, EpochBegan, MemberRecordSkipped, ProposalFailed, ReportSkipped,
 		ClaimsLogged, ClaimsInMemory, ClaimsIncomplete, ClaimsUnreadable,
 		TargetEjected, TargetReduced, TargetReturned, TargetLeaving,
+		TargetListed, TargetGone, TargetSkipped, TargetSuspected, TargetTrusted,
 		Quarantined,
 	}
 }
--- a/pkg/manifester/apply_test.go
+++ b/pkg/manifester/apply_test.go
@@ -155,8 +155,8 @@
 	}
 	for _, method := range []string{"GET", "PUT", "POST"} {
 		for _, path := range []string{"/", "/a", "/a/b", "/a/b/c", "/b"} {
-			x, p := a.FindRoute(method, path)
-			y, q := b.FindRoute(method, path)
+			x, p := a.FindRoute("", method, path)
+			y, q := b.FindRoute("", method, path)
 			if x != y || p != q {
 				return fmt.Errorf("the routes of %s %s differ", method, path)
 			}
--- a/pkg/manifester/change.go
+++ b/pkg/manifester/change.go
@@ -158,7 +158,7 @@
 }
 
 func sameService(a, b *Service) bool {
-	if a.class != b.class || a.floor != b.floor || len(a.targets) != len(b.targets) {
+	if a.listed != b.listed || a.connections != b.connections || a.class != b.class || a.floor != b.floor || len(a.targets) != len(b.targets) {
 		return false
 	}
 	for i := range a.targets {
@@ -171,7 +171,7 @@
 }
 
 func sameTeam(a, b *Team) bool {
-	if a.rate != b.rate || a.burst != b.burst || a.weight != b.weight || len(a.keyDigests) != len(b.keyDigests) {
+	if a.rate != b.rate || a.burst != b.burst || a.weight != b.weight || a.priority != b.priority || len(a.keyDigests) != len(b.keyDigests) {
 		return false
 	}
 	for i := range a.keyDigests {
@@ -184,5 +184,5 @@
 }
 
 func sameRoute(a, b *Route) bool {
-	return *a == *b
+	return a.equal(b)
 }
--- a/pkg/manifester/editor.go
+++ b/pkg/manifester/editor.go
@@ -122,26 +122,30 @@
 		if !ok {
 			continue
 		}
-		same, _ := e.byPrefix.table.get(old.prefix)
+		same, _ := e.byPrefix.table.get(old.place())
 		same = slices.DeleteFunc(slices.Clone(same), func(r *Route) bool { return r == old })
 		if len(same) > 0 {
-			e.byPrefix.put(old.prefix, same)
+			e.byPrefix.put(old.place(), same)
 		} else {
-			e.byPrefix.remove(old.prefix)
+			e.byPrefix.remove(old.place())
+		}
+		for _, s := range old.Services() {
+			e.use(s, -1)
 		}
-		e.use(old.service, -1)
 		e.routes.remove(n)
 	}
 }
 
 func (e *editor) putRoute(r *Route) {
 	e.routes.put(r.name, r)
-	same, _ := e.byPrefix.table.get(r.prefix)
+	same, _ := e.byPrefix.table.get(r.place())
 	if slices.ContainsFunc(same, func(o *Route) bool { return o.method == r.method }) {
 		e.valid = false
 	}
-	e.byPrefix.put(r.prefix, append(slices.Clone(same), r))
-	e.use(r.service, 1)
+	e.byPrefix.put(r.place(), append(slices.Clone(same), r))
+	for _, s := range r.Services() {
+		e.use(s, 1)
+	}
 }
 
 // use counts the routes of a service.
@@ -165,8 +169,7 @@
 		v.team(t, map[string]string{})
 	}
 	for _, r := range routes {
-		_, declared := e.services.table.get(r.service)
-		v.route(r, declared, map[string]string{})
+		v.route(r, e.services.table, map[string]string{})
 	}
 	e.valid = e.valid && len(v.faults) == 0
 }
--- a/pkg/manifester/manifest.go
+++ b/pkg/manifester/manifest.go
@@ -96,18 +96,38 @@
 )
 
 // FindRoute returns the route with the longest prefix of the path that takes
-// the method. A route of the exact method goes before one of any method.
-func (m *Manifest) FindRoute(method, path string) (*Route, Match) {
+// the method. Routes of the host go before those of every host, and a route of
+// the exact method before one of any method.
+func (m *Manifest) FindRoute(host, method, path string) (*Route, Match) {
+	match := MatchNone
+	if host != "" {
+		r, found := m.findAt(host, method, path)
+		if found == MatchFound {
+			return r, found
+		}
+		match = found
+	}
+	r, found := m.findAt("", method, path)
+
+	return r, max(match, found)
+}
+
+// findAt looks among the routes of one host, or among those of every host.
+func (m *Manifest) findAt(host, method, path string) (*Route, Match) {
 	match := MatchNone
 	for prefix := path; prefix != ""; prefix = parentPrefix(prefix) {
-		routes, _ := m.byPrefix.get(prefix)
+		routes, _ := m.byPrefix.get(placeOf(host, prefix))
 		if len(routes) == 0 {
 			continue
 		}
-		if r := methodRoute(routes, method); r != nil {
+		r := methodRoute(routes, method)
+		switch {
+		case r == nil:
+			match = MatchOtherMethod
+		case r.below && prefix == path && path != "/":
+		default:
 			return r, MatchFound
 		}
-		match = MatchOtherMethod
 	}
 
 	return nil, match
--- a/pkg/manifester/manifester.go
+++ b/pkg/manifester/manifester.go
@@ -3,7 +3,11 @@
 // encoding and does no I/O. All values are immutable once built.
 package manifester
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // Class orders services by what their requests are worth under overload.
 type Class string
@@ -86,6 +90,12 @@
 	// goes; at most the sum of the slots of all targets.
 	floor   int
 	targets []*Target
+	// listed services take their targets from the platform's list of targets;
+	// they declare none themselves.
+	listed bool
+	// connections bounds the open connections of the whole fleet to each target
+	// of a listed service; at least 1 there.
+	connections int
 }
 
 // NewService returns a service.
@@ -98,6 +108,17 @@
 	}
 }
 
+// NewListedService returns a service whose targets come from the platform's
+// list. The bound of connections holds for each target over the whole fleet.
+func NewListedService(name string, class Class, connections int) *Service {
+	return &Service{
+		name:        name,
+		class:       class,
+		listed:      true,
+		connections: connections,
+	}
+}
+
 // Name returns the unique name.
 func (s *Service) Name() string { return s.name }
 
@@ -107,6 +128,13 @@
 // Floor returns the least healthy capacity in slots that ejection must leave.
 func (s *Service) Floor() int { return s.floor }
 
+// Listed reports whether the targets come from the platform's list.
+func (s *Service) Listed() bool { return s.listed }
+
+// Connections returns the most connections that the fleet may hold open to one
+// target of a listed service.
+func (s *Service) Connections() int { return s.connections }
+
 // Targets returns the targets; the caller must not change the slice.
 func (s *Service) Targets() []*Target { return s.targets }
 
@@ -129,6 +157,8 @@
 	burst float64
 	// weight is the team's part in fair sharing; above 0.
 	weight float64
+	// priority ranks the team; 0 is the most important.
+	priority int
 	// keyDigests are the lower-case hexadecimal SHA-256 digests of its keys.
 	keyDigests []string
 }
@@ -144,6 +174,21 @@
 	}
 }
 
+// WithPriority returns a copy of the team with the rank; 0 is the most
+// important.
+func (t *Team) WithPriority(rank int) *Team {
+	c := *t
+	c.priority = rank
+
+	return &c
+}
+
+// Priority returns the team's rank; 0 is the most important.
+func (t *Team) Priority() int { return t.priority }
+
+// Limited reports whether the team has a rate limit.
+func (t *Team) Limited() bool { return !math.IsInf(t.rate, 1) }
+
 // Name returns the unique name.
 func (t *Team) Name() string { return t.name }
 
@@ -174,8 +219,43 @@
 	idempotent bool
 	// timeout bounds the time from arrival to answer; above 0.
 	timeout time.Duration
+	// host is the only host that the route serves; "" for every host.
+	host string
+	// below routes match paths below the prefix, and not the prefix itself.
+	below bool
+	// attempts bounds the targets that one request is sent to; 0 where only the
+	// fleet's own bound holds.
+	attempts int
+	// aim is the time within which an answer is worth most; 0 where unknown.
+	aim time.Duration
+	// priority ranks the route below its team; 0 is the most important.
+	priority int
+	// shares divide the requests among several services; empty for a route of
+	// one service.
+	shares []Share
+}
+
+// Share is the part of a route's requests that goes to one service.
+type Share struct {
+	service string
+	// weight is above 0; parts are in proportion to it.
+	weight float64
+}
+
+// NewShare returns a share.
+func NewShare(service string, weight float64) Share {
+	return Share{
+		service: service,
+		weight:  weight,
+	}
 }
 
+// Service returns the name of the service.
+func (s Share) Service() string { return s.service }
+
+// Weight returns the weight.
+func (s Share) Weight() float64 { return s.weight }
+
 // RouteSpec lists the attributes of a route.
 type RouteSpec struct {
 	Name       string
@@ -185,10 +265,21 @@
 	Open       bool
 	Idempotent bool
 	Timeout    time.Duration
+	Host       string
+	Below      bool
+	Attempts   int
+	Aim        time.Duration
+	Priority   int
+	// Shares take the place of Service; the first service is then the route's.
+	Shares []Share
 }
 
 // NewRoute returns a route.
 func NewRoute(s RouteSpec) *Route {
+	if len(s.Shares) > 0 {
+		s.Service = s.Shares[0].service
+	}
+
 	return &Route{
 		name:       s.Name,
 		method:     s.Method,
@@ -197,6 +288,12 @@
 		open:       s.Open,
 		idempotent: s.Idempotent,
 		timeout:    s.Timeout,
+		host:       s.Host,
+		below:      s.Below,
+		attempts:   s.Attempts,
+		aim:        s.Aim,
+		priority:   s.Priority,
+		shares:     slices.Clone(s.Shares),
 	}
 }
 
@@ -220,3 +317,48 @@
 
 // Timeout returns the time from arrival to answer.
 func (r *Route) Timeout() time.Duration { return r.timeout }
+
+// Host returns the only host that the route serves, or "" for every host.
+func (r *Route) Host() string { return r.host }
+
+// Attempts returns the most targets that one request is sent to, or 0 where
+// only the fleet's own bound holds.
+func (r *Route) Attempts() int { return r.attempts }
+
+// Aim returns the time within which an answer is worth most, or 0.
+func (r *Route) Aim() time.Duration { return r.aim }
+
+// Priority returns the route's rank; 0 is the most important.
+func (r *Route) Priority() int { return r.priority }
+
+// Shares returns the services that divide the requests, or none for a route of
+// one service; the caller must not change the slice.
+func (r *Route) Shares() []Share { return r.shares }
+
+// Services returns the names of all services that the route may send to.
+func (r *Route) Services() []string {
+	if len(r.shares) == 0 {
+		return []string{r.service}
+	}
+	list := make([]string, len(r.shares))
+	for i, s := range r.shares {
+		list[i] = s.service
+	}
+
+	return list
+}
+
+// place is the key of the route in the index of prefixes.
+func (r *Route) place() string { return placeOf(r.host, r.prefix) }
+
+// placeOf returns the key of a host and prefix. No host holds a slash, so that
+// keys of different hosts differ.
+func placeOf(host, prefix string) string { return host + prefix }
+
+// equal reports whether both routes declare the same.
+func (r *Route) equal(o *Route) bool {
+	return slices.Equal(r.shares, o.shares) &&
+		r.name == o.name && r.host == o.host && r.method == o.method && r.prefix == o.prefix && r.below == o.below &&
+		r.service == o.service && r.open == o.open && r.idempotent == o.idempotent &&
+		r.timeout == o.timeout && r.aim == o.aim && r.attempts == o.attempts && r.priority == o.priority
+}
--- a/pkg/manifester/scale_test.go
+++ b/pkg/manifester/scale_test.go
@@ -137,7 +137,7 @@
 				if _, ok := m.TeamOfKey(digest); !ok {
 					b.Fatal("no team")
 				}
-				if _, match := m.FindRoute("GET", "/p/7/a/b"); match != manifester.MatchFound {
+				if _, match := m.FindRoute("", "GET", "/p/7/a/b"); match != manifester.MatchFound {
 					b.Fatal("no route")
 				}
 			}
--- a/pkg/manifester/validate.go
+++ b/pkg/manifester/validate.go
@@ -88,8 +88,7 @@
 	}
 	taken := map[string]string{}
 	for _, r := range m.Routes() {
-		_, declared := m.services.get(r.service)
-		v.route(r, declared, taken)
+		v.route(r, m.services, taken)
 	}
 
 	return v.faults
@@ -101,6 +100,13 @@
 	if !s.class.Valid() {
 		v.add(path+".class", fmt.Sprintf("class %q is not known", s.class), "booking, lookup or browsing")
 	}
+	if s.listed {
+		if s.connections < 1 {
+			v.add(path+".connections", fmt.Sprintf("connections is %d", s.connections), "1 or more")
+		}
+
+		return
+	}
 	if len(s.targets) == 0 {
 		v.add(path+".targets", "the service has no target", "at least one target")
 	}
@@ -174,7 +180,7 @@
 	}
 }
 
-func (v *validator) route(r *Route, declared bool, taken map[string]string) {
+func (v *validator) route(r *Route, services *table[*Service], taken map[string]string) {
 	path := "routes." + r.name
 	v.name(path, r.name)
 	if !methodPattern.MatchString(r.method) {
@@ -183,13 +189,23 @@
 	if !validPrefix(r.prefix) {
 		v.add(path+".prefix", fmt.Sprintf("prefix %q is not valid", r.prefix), "a path that starts with / and does not end with it, or / alone")
 	}
-	if !declared {
-		v.add(path+".service", fmt.Sprintf("service %q is not declared", r.service), "the name of a declared service")
+	for _, s := range r.Services() {
+		if _, declared := services.get(s); !declared {
+			v.add(path+".service", fmt.Sprintf("service %q is not declared", s), "the name of a declared service")
+		}
+	}
+	for _, s := range r.shares {
+		if !(s.weight > 0) {
+			v.add(path+".shares", fmt.Sprintf("the weight of service %q is %v", s.service, s.weight), "a number above 0")
+		}
+	}
+	if r.attempts < 0 {
+		v.add(path+".attempts", fmt.Sprintf("attempts is %d", r.attempts), "1 or more")
 	}
 	if r.timeout <= 0 {
 		v.add(path+".timeoutMs", fmt.Sprintf("timeout is %v", r.timeout), "1 or more milliseconds")
 	}
-	key := r.method + " " + r.prefix
+	key := r.method + " " + r.place()
 	if other, ok := taken[key]; ok {
 		v.add(path+".prefix", fmt.Sprintf("route %q has the same method and prefix", other), "a method and prefix of its own for each route")
 	}
