--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -118,7 +118,7 @@
 			v.member,
 		},
 	}
-	v.operators = newOperators(open.operators, v)
+	v.operators = newOperators(open.operators, v.pages())
 	v.controllers = append(v.controllers,
 		v.timers,
 		v.follower,
--- a/internal/assembler/chain.go
+++ b/internal/assembler/chain.go
@@ -4,6 +4,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
+	"github.com/lagoonkeel/lagoonkeel/internal/splitter"
 )
 
 // maxFields bounds the header fields of a request.
@@ -23,7 +24,7 @@
 		filterer.NewReady(v.follower),
 		filterer.NewAuthenticate(v.follower),
 		filterer.NewScrub(),
-		filterer.NewRoute(),
+		filterer.NewRoute(splitter.New()),
 		fresh,
 		filterer.NewDeadline(handler.OwnNames().Timeout()),
 		filterer.NewQuarantine(v.quarantine),
--- a/internal/assembler/operators.go
+++ b/internal/assembler/operators.go
@@ -17,28 +17,31 @@
 // the platform's balancer.
 type operators struct {
 	ln     net.Listener
-	vm     *VM
 	server *http.Server
 }
 
-func newOperators(ln net.Listener, vm *VM) *operators {
-	o := &operators{
+// newOperators returns the controller that serves the pages.
+func newOperators(ln net.Listener, pages http.Handler) *operators {
+	return &operators{
 		ln: ln,
-		vm: vm,
+		server: &http.Server{
+			Handler:           pages,
+			ReadHeaderTimeout: headerTimeout,
+		},
 	}
+}
+
+// pages returns what operators of the VM may ask for.
+func (v *VM) pages() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /ready", o.ready)
-	mux.HandleFunc("GET /live", o.live)
-	mux.HandleFunc("GET /status", o.status)
-	mux.HandleFunc("GET /targets", o.serveTargets)
-	mux.HandleFunc("GET /rates", o.serveRates)
-	mux.HandleFunc("GET /metrics", o.metrics)
-	o.server = &http.Server{
-		Handler:           mux,
-		ReadHeaderTimeout: headerTimeout,
-	}
+	mux.HandleFunc("GET /ready", readiness(v.Ready))
+	mux.HandleFunc("GET /live", live)
+	mux.HandleFunc("GET /status", v.serveStatus)
+	mux.HandleFunc("GET /targets", v.serveTargets)
+	mux.HandleFunc("GET /rates", v.serveRates)
+	mux.HandleFunc("GET /metrics", v.serveMetrics)
 
-	return o
+	return mux
 }
 
 // Name returns the controller's name.
@@ -61,16 +64,19 @@
 	return errors.Wrap(o.server.Shutdown(stop), "stopping the operators' listener")
 }
 
-func (o *operators) ready(w http.ResponseWriter, _ *http.Request) {
-	if !o.vm.Ready() {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
+// readiness answers whether the VM may get callers' requests.
+func readiness(ready func() bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
 
-		return
+			return
+		}
+		_, _ = w.Write([]byte("ready\n")) // The balancer may have gone.
 	}
-	_, _ = w.Write([]byte("ready\n")) // The balancer may have gone.
 }
 
-func (o *operators) live(w http.ResponseWriter, _ *http.Request) {
+func live(w http.ResponseWriter, _ *http.Request) {
 	_, _ = w.Write([]byte("live\n")) // The balancer may have gone.
 }
 
@@ -90,22 +96,22 @@
 	Time   string `json:"time"`
 }
 
-func (o *operators) status(w http.ResponseWriter, _ *http.Request) {
+func (v *VM) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(statusJSON{ // The operator may have gone.
-		ID:      o.vm.settings.ID(),
-		Version: int64(o.vm.follower.Manifest().Version()),
-		Ready:   o.vm.Ready(),
-		Next:    int64(o.vm.follower.Position().Next()),
-		Fresh:   o.vm.timers.Now().Before(o.vm.follower.FreshUntil()),
-		Members: o.vm.members(),
-		Epoch:   o.vm.member.View().Epoch(),
-		Ranges:  o.vm.member.ActiveCount(),
+		ID:      v.settings.ID(),
+		Version: int64(v.follower.Manifest().Version()),
+		Ready:   v.Ready(),
+		Next:    int64(v.follower.Position().Next()),
+		Fresh:   v.timers.Now().Before(v.follower.FreshUntil()),
+		Members: v.members(),
+		Epoch:   v.member.View().Epoch(),
+		Ranges:  v.member.ActiveCount(),
 		Time:    time.Now().UTC().Format(time.RFC3339Nano),
 	})
 }
 
-func (o *operators) metrics(w http.ResponseWriter, _ *http.Request) {
+func (v *VM) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	o.vm.meter.WriteJSON(w)
+	v.meter.WriteJSON(w)
 }
--- a/internal/assembler/rates.go
+++ b/internal/assembler/rates.go
@@ -37,8 +37,8 @@
 }
 
 // serveRates answers with the slots of the team that the query names.
-func (o *operators) serveRates(w http.ResponseWriter, r *http.Request) {
-	team, ok := o.vm.follower.Manifest().Team(r.URL.Query().Get("team"))
+func (v *VM) serveRates(w http.ResponseWriter, r *http.Request) {
+	team, ok := v.follower.Manifest().Team(r.URL.Query().Get("team"))
 	if !ok {
 		http.Error(w, "no such team; name one with ?team=", http.StatusNotFound)
 
@@ -47,10 +47,10 @@
 	slots := make([]slotJSON, granter.PlanOf(team).Slots())
 	for i := range slots {
 		at := granter.SlotRange(team.Name(), i)
-		_, active := o.vm.member.Active(at)
+		_, active := v.member.Active(at)
 		slots[i] = slotJSON{
 			Slot:   i,
-			Holder: string(o.vm.member.View().Holder(at).ID()),
+			Holder: string(v.member.View().Holder(at).ID()),
 			Active: active,
 		}
 	}
--- /dev/null
+++ b/internal/assembler/store_limits.go
@@ -0,0 +1,88 @@
+package assembler
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/admitter"
+	"github.com/lagoonkeel/lagoonkeel/internal/adopter"
+	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+const (
+	// retryRatio is the part of a service's requests that may be sent a second
+	// time, over the fleet.
+	retryRatio = 0.18
+	// retryBurst is the number of second attempts that may be saved up.
+	retryBurst = 40
+)
+
+// limitTable holds the limits of one version of the configuration.
+type limitTable struct {
+	manifest *manifester.Manifest
+	limits   map[tallier.Account]tallier.Limit
+}
+
+// limits finds the limits of the configuration in force.
+type limits struct {
+	source *adopter.Adopter
+	// table is built anew after each change of the configuration.
+	table atomic.Pointer[limitTable]
+}
+
+func newLimits(a *adopter.Adopter) *limits {
+	l := &limits{
+		source: a,
+	}
+	l.table.Store(&limitTable{})
+
+	return l
+}
+
+// Limit returns the limit of the account, or false for one without.
+func (l *limits) Limit(a tallier.Account) (tallier.Limit, bool) {
+	m := l.source.Manifest()
+	t := l.table.Load()
+	if t.manifest != m {
+		t = buildLimits(m)
+		l.table.Store(t)
+	}
+	limit, ok := t.limits[a]
+
+	return limit, ok
+}
+
+func buildLimits(m *manifester.Manifest) *limitTable {
+	t := &limitTable{
+		manifest: m,
+		limits:   map[tallier.Account]tallier.Limit{},
+	}
+	for _, team := range m.Teams() {
+		if team.Limited() {
+			t.limits[tallier.TeamAccount(team.Name())] = tallier.NewRate(team.Rate(), team.Burst())
+		}
+	}
+	for _, s := range m.Services() {
+		t.limits[tallier.RetryAccount(s.Name())] = tallier.NewRatio(retryRatio, retryBurst)
+	}
+
+	return t
+}
+
+// sharedRates admits requests by the rates that all VMs share.
+type sharedRates struct {
+	tallier *tallier.Tallier
+	timers  *timer.Service
+}
+
+// Admit takes one request of the team's rate.
+func (r *sharedRates) Admit(_ context.Context, _ timer.Instant, team *manifester.Team) admitter.Verdict {
+	v := r.tallier.Ask(r.timers.Now(), tallier.TeamAccount(team.Name()))
+	if v.Granted() {
+		return admitter.Admitted()
+	}
+
+	return admitter.Refused(v.Wait())
+}
--- /dev/null
+++ b/internal/assembler/store_vm.go
@@ -0,0 +1,271 @@
+package assembler
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/adopter"
+	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
+	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/encoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
+	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
+	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
+	"github.com/lagoonkeel/lagoonkeel/internal/gossiper"
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/hasher"
+	"github.com/lagoonkeel/lagoonkeel/internal/listener"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/meter"
+	"github.com/lagoonkeel/lagoonkeel/internal/placer"
+	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
+	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
+	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
+	"github.com/lagoonkeel/lagoonkeel/internal/splitter"
+	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
+	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
+	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/internal/tracer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+	"github.com/lagoonkeel/lagoonkeel/platform/adapter"
+)
+
+const (
+	// targetsGap is the least time between two reads of the list of targets. A
+	// leaving target must get no request two seconds after its word.
+	targetsGap = time.Second
+	// peersGap is the least time between two reads of the list of VMs; VMs
+	// also learn of each other by their reports.
+	peersGap = 20 * time.Second
+)
+
+// StoreVM is one assembled process of a fleet that runs on the platform's store
+// alone.
+type StoreVM struct {
+	settings  *configurer.Settings
+	logger    *logger.Logger
+	timers    *timer.Service
+	meter     *meter.Meter
+	tracer    *tracer.Tracer
+	names     *handler.Names
+	store     *adapter.Client
+	adopter   *adopter.Adopter
+	registrar *registrar.Registrar
+	estimator *estimator.Estimator
+	tallier   *tallier.Tallier
+	placer    *placer.Placer
+	gossiper  *gossiper.Gossiper
+	// quarantine refuses requests that end their targets.
+	quarantine *quarantiner.Quarantiner
+	transport  *forwarder.Transport
+	listener   *listener.Listener
+	stopper    *stopper
+	// controllers run from the start to the end of the process.
+	controllers []supervisor.Controller
+}
+
+// SettingsPath returns the path of the settings that the platform provides, or
+// "".
+func SettingsPath() string { return os.Getenv(adapter.SettingsVariable) }
+
+// NewStoreVM opens the sockets and builds the process.
+func NewStoreVM(s *configurer.Settings, l *logger.Logger) (*StoreVM, error) {
+	v := &StoreVM{
+		settings:  s,
+		logger:    l,
+		timers:    timer.NewService(),
+		meter:     meter.New(),
+		names:     adapter.Names(),
+		store:     adapter.NewClient(s.Store()),
+		adopter:   adopter.New(adapter.ConfigKey, adapter.Config, l),
+		registrar: registrar.New(adapter.Target, l),
+		estimator: estimator.New(),
+	}
+	v.tallier = tallier.New(newLimits(v.adopter))
+	var err error
+	if v.tracer, err = tracer.New(context.Background(), s.Tracing(), s.ID()); err != nil {
+		return nil, err
+	}
+	config := net.ListenConfig{}
+	reports, err := config.ListenPacket(context.Background(), "udp4", s.Peers())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening on %s; is another process using it?", s.Peers())
+	}
+	v.addGossip(reports)
+	v.transport = forwarder.NewTransport(v.timers, v.names, v.connections)
+	callers, err := config.Listen(context.Background(), "tcp", s.Callers())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening on %s; is another process using it?", s.Callers())
+	}
+	operators, err := config.Listen(context.Background(), "tcp", s.Operators())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening on %s; is another process using it?", s.Operators())
+	}
+	v.listener = listener.New(callers, v.chain(), s.MaxBody(), v.names, v.timers)
+	v.stopper = &stopper{
+		grace:  s.StopGrace(),
+		front:  v.listener,
+		timers: v.timers,
+		logger: l,
+	}
+	v.addControllers(newOperators(operators, v.pages()))
+
+	return v, nil
+}
+
+// addGossip joins the parts that know what other VMs see and use.
+func (v *StoreVM) addGossip(conn net.PacketConn) {
+	spread := &lateSpreader{}
+	v.quarantine = quarantiner.New(v.timers, spread, v.logger)
+	v.gossiper = gossiper.New(gossiper.Spec{
+		Conn:       conn,
+		Self:       v.settings.Peers(),
+		Start:      uint32(time.Now().UnixMilli()), //nolint:gosec // Tells two starts apart; it may wrap.
+		Codec:      reportCodec{},
+		Clock:      v.timers,
+		Tallier:    v.tallier,
+		Evidence:   v.estimator,
+		Quarantine: v.quarantine,
+		Loads:      v.loads,
+		Logger:     v.logger,
+	})
+	spread.to = v.gossiper
+	v.placer = placer.New(placer.Spec{
+		DataCentre: v.settings.DataCentre(),
+		List:       v.registrar,
+		Risks:      v.estimator,
+		Witness:    v.estimator,
+		Teller:     v.gossiper,
+		Fleet:      v.gossiper,
+		Clock:      v.timers,
+	})
+}
+
+func (v *StoreVM) addControllers(operators *operators) {
+	v.controllers = []supervisor.Controller{
+		v.timers,
+		subscriber.New("configurations", v.store.Topic(adapter.ConfigTopic), v.adopter, 0, v.timers, v.logger),
+		subscriber.New("targets", v.store.Topic(adapter.TargetsTopic), v.registrar, targetsGap, v.timers, v.logger),
+		subscriber.New("vms", v.store.Topic(adapter.PeersTopic), v.gossiper, peersGap, v.timers, v.logger),
+		&announcer{
+			topic:   v.store.Topic(adapter.PeersTopic),
+			address: v.settings.Peers(),
+			value:   v.settings.ID(),
+			timers:  v.timers,
+			logger:  v.logger,
+		},
+		v.gossiper,
+		v.placer,
+		v.transport,
+		operators,
+		v.stopper,
+	}
+}
+
+// chain builds the filter chain in the order in which decisions are made.
+func (v *StoreVM) chain() *handler.Chain {
+	return handler.NewChain(
+		filterer.NewTraceRequest(v.tracer),
+		filterer.NewCount(v.meter, v.timers),
+		filterer.NewLimit(v.settings.MaxBody(), maxFields),
+		filterer.NewReady(v),
+		filterer.NewIdentify(v.adopter, v.names),
+		filterer.NewRoute(splitter.New()),
+		filterer.NewDeadline(v.names.Timeout()),
+		filterer.NewQuarantine(v.quarantine),
+		filterer.NewAdmit(&sharedRates{tallier: v.tallier, timers: v.timers}, v.tracer),
+		filterer.NewRepeat(retrier.NewShared(v.tallier), v.timers),
+		filterer.NewCrashWatch(v.quarantine, v.transport),
+		filterer.NewPlace(v.placer, v.timers),
+		filterer.NewTraceAttempt(v.tracer),
+		filterer.NewForward(v.transport),
+	)
+}
+
+// Ready reports whether the VM can serve: it has a configuration and the list
+// of targets.
+func (v *StoreVM) Ready() bool { return v.adopter.Ready() && v.registrar.Ready() }
+
+// rotates reports whether the balancer may send new connections.
+func (v *StoreVM) rotates() bool { return v.Ready() && !v.stopper.Stopping() }
+
+// pages returns what operators and the balancer may ask for.
+func (v *StoreVM) pages() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", readiness(v.rotates))
+	if p := v.settings.ReadyPath(); p != "" && p != "/ready" {
+		mux.HandleFunc("GET "+p, readiness(v.rotates))
+	}
+	mux.HandleFunc("GET /live", live)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		v.meter.WriteJSON(w)
+	})
+
+	return mux
+}
+
+// loads returns the open requests of this VM at each service.
+func (v *StoreVM) loads() []gossiper.Load {
+	var list []gossiper.Load
+	v.placer.Open(func(service string, open int) {
+		list = append(list, gossiper.NewLoad(hasher.Sum(service), uint32(open))) //nolint:gosec // A few hundred at most.
+	})
+
+	return list
+}
+
+// connections returns this VM's part of the connections that the whole fleet
+// may hold open to a target.
+func (v *StoreVM) connections(*manifester.Target) int {
+	const least, bound = 4, 390
+	_, known := v.gossiper.Census()
+
+	return max(least, bound/known)
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (v *StoreVM) Run(ctx context.Context) error {
+	v.logger.Log(logger.Started,
+		logger.Text("callers", v.listener.Address()),
+		logger.Text("peers", v.settings.Peers()),
+		logger.Text("operators", v.settings.Operators()))
+	start := v.timers.Now()
+	running, finish := context.WithCancel(context.WithoutCancel(ctx))
+	defer finish()
+	v.stopper.asked = ctx
+	v.stopper.finish = finish
+	err := supervisor.Run(running, v.controllers...)
+	if err != nil {
+		v.logger.Log(logger.Failed, logger.Failure(err))
+
+		return errors.Wrap(err, "running the VM")
+	}
+	v.logger.Log(logger.Stopped, logger.Millis("ran", v.timers.Now().Sub(start)))
+
+	return errors.Wrap(v.tracer.Close(context.WithoutCancel(ctx)), "stopping the VM")
+}
+
+// reportCodec encodes reports.
+type reportCodec struct{}
+
+// Encode returns the bytes of a report.
+func (reportCodec) Encode(r *gossiper.Report) []byte { return encoder.Report(r) }
+
+// Decode reads a report.
+func (reportCodec) Decode(data []byte) (*gossiper.Report, error) { return decoder.Report(data) }
+
+// lateSpreader passes marks on to the gossiper, which is built after the
+// quarantine that spreads them.
+type lateSpreader struct {
+	to *gossiper.Gossiper
+}
+
+// Spread tells every other VM.
+func (s *lateSpreader) Spread(ctx context.Context, m quarantiner.Mark) { s.to.Spread(ctx, m) }
--- a/internal/assembler/targets_status.go
+++ b/internal/assembler/targets_status.go
@@ -30,16 +30,16 @@
 }
 
 // serveTargets tells operators how this VM grades every target.
-func (o *operators) serveTargets(w http.ResponseWriter, _ *http.Request) {
-	verdicts := o.vm.targets.ejector.Verdicts()
-	services := o.vm.follower.Manifest().Services()
+func (v *VM) serveTargets(w http.ResponseWriter, _ *http.Request) {
+	verdicts := v.targets.ejector.Verdicts()
+	services := v.follower.Manifest().Services()
 	list := make([]targetsJSON, 0, len(services))
 	for _, s := range services {
 		entry := targetsJSON{
 			Service:  s.Name(),
 			Floor:    s.Floor(),
 			Healthy:  verdicts.Healthy(s.Name()),
-			Capacity: o.vm.targets.balancer.Capacity(s.Name()),
+			Capacity: v.targets.balancer.Capacity(s.Name()),
 			Targets:  []targetJSON{},
 		}
 		for _, t := range s.Targets() {
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -26,6 +26,11 @@
 	// logBase and listBase are the base addresses of the platform's services.
 	logBase  string
 	listBase string
+	// store is the IP address and port of the platform's store; "" where the
+	// fleet runs on a log and a list of VMs.
+	store string
+	// readyPath is the further path at which readiness is served, or "".
+	readyPath string
 	// retention is how long the log keeps a record; above 0.
 	retention time.Duration
 	// maxBody bounds a request's body in bytes.
@@ -84,6 +89,8 @@
 	Advertised string
 	LogBase    string
 	ListBase   string
+	Store      string
+	ReadyPath  string
 	// Retention is DefaultRetention where it is 0.
 	Retention time.Duration
 	MaxBody   int
@@ -104,6 +111,8 @@
 		advertised: s.Advertised,
 		logBase:    s.LogBase,
 		listBase:   s.ListBase,
+		store:      s.Store,
+		readyPath:  s.ReadyPath,
 		retention:  cmp.Or(s.Retention, DefaultRetention),
 		maxBody:    s.MaxBody,
 		stopGrace:  s.StopGrace,
@@ -140,6 +149,13 @@
 // ListBase returns the base address of the VM list.
 func (s *Settings) ListBase() string { return s.listBase }
 
+// Store returns the address of the platform's store, or "" where the fleet runs
+// on a log and a list of VMs.
+func (s *Settings) Store() string { return s.store }
+
+// ReadyPath returns the further path at which readiness is served, or "".
+func (s *Settings) ReadyPath() string { return s.readyPath }
+
 // Retention returns how long the log keeps a record at least.
 func (s *Settings) Retention() time.Duration { return s.retention }
 
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -46,8 +46,12 @@
 		spec.Advertised = o.optionalAddress("peersAdvertised")
 	})
 	r.object("platform", func(o *reader) {
-		spec.LogBase = o.base("log")
-		spec.ListBase = o.base("vms")
+		spec.Store = o.optionalAddress("store")
+		if spec.Store == "" {
+			spec.LogBase = o.base("log")
+			spec.ListBase = o.base("vms")
+		}
+		spec.ReadyPath = o.optionalText("readyPath", "")
 		spec.Retention = o.millis("logRetentionMs", configurer.DefaultRetention, minRetention, maxRetention)
 	})
 	r.object("traces", func(o *reader) {
--- /dev/null
+++ b/internal/filterer/identify.go
@@ -0,0 +1,50 @@
+package filterer
+
+import (
+	"context"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/keyer"
+)
+
+// Identify fixes the manifest of the exchange, finds the team whose key came
+// with the request, takes the key out and names the team to the target. The
+// route filter refuses where a key is needed.
+type Identify struct {
+	source manifestSource
+	names  *handler.Names
+}
+
+// NewIdentify returns the filter; it reads the manifest in force from the
+// source.
+func NewIdentify(source manifestSource, n *handler.Names) *Identify {
+	return &Identify{
+		source: source,
+		names:  n,
+	}
+}
+
+// Name returns the filter's name.
+func (i *Identify) Name() string { return "identify" }
+
+// Handle finds the caller's team.
+func (i *Identify) Handle(ctx context.Context, x *handler.Exchange, next handler.Handler) error {
+	x.SetManifest(i.source.Manifest())
+	f := x.Request().Fields()
+	if f.Count(i.names.Key()) > 1 {
+		return handler.NewRefusal(handler.CodeBadRequest, "the request carries more than one key; send one")
+	}
+	key := f.Get(i.names.Key())
+	f.Remove(i.names.Key())
+	f.Remove(i.names.Team())
+	if key != "" {
+		digest := keyer.Digest(key)
+		team, known := x.Manifest().TeamOfKey(digest)
+		x.SetTeam(team, digest)
+		if known {
+			f.Set(i.names.Team(), team.Name())
+		}
+	}
+
+	return next.Serve(ctx, x)
+}
--- a/internal/filterer/pick.go
+++ b/internal/filterer/pick.go
@@ -89,9 +89,15 @@
 }
 
 func answerResult(status int) ejector.Result {
-	if status >= http.StatusInternalServerError && status != http.StatusNotImplemented {
+	if failedAnswer(status) {
 		return ejector.ResultFailed
 	}
 
 	return ejector.ResultOK
 }
+
+// failedAnswer reports whether the status of an answer is a failure of its
+// target.
+func failedAnswer(status int) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusNotImplemented
+}
--- a/internal/filterer/route.go
+++ b/internal/filterer/route.go
@@ -9,11 +9,20 @@
 
 // Route finds the route and service of a request, and refuses callers without
 // a valid key unless the route is open to all.
-type Route struct{}
+type Route struct {
+	splitter splitter
+}
+
+type splitter interface {
+	// Choose returns the service that the next request of the route goes to.
+	Choose(r *manifester.Route) string
+}
 
 // NewRoute returns the filter.
-func NewRoute() *Route {
-	return &Route{}
+func NewRoute(s splitter) *Route {
+	return &Route{
+		splitter: s,
+	}
 }
 
 // Name returns the filter's name.
@@ -32,7 +41,7 @@
 	if !route.Open() && x.Team() == nil {
 		return missingKey(x)
 	}
-	service, ok := x.Manifest().Service(route.Service())
+	service, ok := x.Manifest().Service(r.splitter.Choose(route))
 	if !ok {
 		return handler.NewRefusal(handler.CodeInternal, "the route has no service")
 	}
--- a/internal/forwarder/probe_test.go
+++ b/internal/forwarder/probe_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -47,6 +47,7 @@
 	MemberRecordSkipped = Event{number: 302, level: LevelInfo, name: "member-record-skipped", meaning: "A record of the members stream lost a race or is not allowed; every VM skips it."}
 	ProposalFailed      = Event{number: 303, level: LevelWarn, name: "proposal-failed", meaning: "A join, removal or renewal could not be appended; the VM tries again."}
 	ReportSkipped       = Event{number: 304, level: LevelWarn, name: "report-skipped", meaning: "A report of another VM cannot be read and is passed over."}
+	AnnounceFailed      = Event{number: 305, level: LevelWarn, name: "announce-failed", meaning: "The VM could not list its address in the platform's store; it tries again."}
 	TargetEjected       = Event{number: 500, level: LevelWarn, name: "target-ejected", meaning: "A target gets trial requests only; scope path means from this VM alone."}
 	TargetReduced       = Event{number: 501, level: LevelInfo, name: "target-reduced", meaning: "A target gets a part of its work."}
 	TargetReturned      = Event{number: 502, level: LevelInfo, name: "target-returned", meaning: "A target gets all its work again, after a warm-up if it was ejected."}
@@ -65,7 +66,7 @@
 		ChangeApplied, ChangeSkipped, LogUnavailable, LogAvailable, StateRestored, KeysStale,
 		KeysFresh, LogBehind, SnapshotMissing, SnapshotWritten, SnapshotFailed,
 		StoreLost, StoreRegained, ConfigTaken, ConfigSkipped,
-		ListUnavailable, EpochBegan, MemberRecordSkipped, ProposalFailed, ReportSkipped,
+		ListUnavailable, EpochBegan, MemberRecordSkipped, ProposalFailed, ReportSkipped, AnnounceFailed,
 		ClaimsLogged, ClaimsInMemory, ClaimsIncomplete, ClaimsUnreadable,
 		TargetEjected, TargetReduced, TargetReturned, TargetLeaving,
 		TargetListed, TargetGone, TargetSkipped, TargetSuspected, TargetTrusted,
