--- a/internal/tallier/account.go
+++ b/internal/tallier/account.go
@@ -11,6 +11,8 @@
 	// shortestWait and longestWait bound what a refused ask is told.
 	shortestWait = 100 * time.Millisecond
 	longestWait  = 5 * time.Second
+	// unheardTime is how long another VM's use may not be known yet.
+	unheardTime = 700 * time.Millisecond
 	// ratioWait is what a refused ask of a limit without a rate is told.
 	ratioWait = time.Second
 )
@@ -65,6 +67,15 @@
 	a.mine += n
 }
 
+// allowed is what this VM may use in the present turn. Where there is more than
+// all others are likely to use before they are heard again, that is all of the
+// rest; else it is this VM's share.
+func (a *account) allowed(heard int) float64 {
+	unheard := a.others / demandMemory.Seconds() * unheardTime.Seconds()
+
+	return math.Max(1, math.Max(a.level*a.share(heard), a.level-unheard))
+}
+
 // share is this VM's part of what is left, by demand.
 func (a *account) share(heard int) float64 {
 	floor := leastShare / float64(heard)
--- a/internal/tallier/tallier.go
+++ b/internal/tallier/tallier.go
@@ -6,7 +6,6 @@
 package tallier
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -227,8 +226,7 @@
 func (t *Tallier) presence() float64 { return float64(t.heard) / float64(t.known) }
 
 func (t *Tallier) use(a *account) Verdict {
-	allowed := math.Max(1, a.level*a.share(t.heard))
-	if a.level >= 1 && a.turnUsed+1 <= allowed {
+	if a.level >= 1 && a.turnUsed+1 <= a.allowed(t.heard) {
 		a.turnUsed++
 		a.own.used++
 		a.spend(1)
