Tell the others how far the store was read

Ruled out: the view took every record that it got. Change: reads wait so long that some VM of the fleet asks anew every 0.4 s on average, and reports carry how far each topic was read; a VM that is behind asks at once.

--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -148,11 +148,14 @@
 }
 
 func (v *StoreVM) addControllers(operators *operators) {
+	configurations := subscriber.New("configurations", v.store.Topic(adapter.ConfigTopic), v.adopter, 0, v.gossiper, v.timers, v.logger)
+	targets := subscriber.New("targets", v.store.Topic(adapter.TargetsTopic), v.registrar, targetsGap, v.gossiper, v.timers, v.logger)
+	v.gossiper.Follow(configurations, targets)
 	v.controllers = []supervisor.Controller{
 		v.timers,
-		subscriber.New("configurations", v.store.Topic(adapter.ConfigTopic), v.adopter, 0, v.timers, v.logger),
-		subscriber.New("targets", v.store.Topic(adapter.TargetsTopic), v.registrar, targetsGap, v.timers, v.logger),
-		subscriber.New("vms", v.store.Topic(adapter.PeersTopic), v.gossiper, peersGap, v.timers, v.logger),
+		configurations,
+		targets,
+		subscriber.New("vms", v.store.Topic(adapter.PeersTopic), v.gossiper, peersGap, v.gossiper, v.timers, v.logger),
 		&announcer{
 			topic:   v.store.Topic(adapter.PeersTopic),
 			address: v.settings.Peers(),
--- a/internal/decoder/report.go
+++ b/internal/decoder/report.go
@@ -121,6 +121,7 @@
 		}
 	})
 	c.each(func() { spec.Marks = append(spec.Marks, readMark(c)) })
+	c.each(func() { spec.Positions = append(spec.Positions, gossiper.NewPosition(c.number(), c.number())) })
 	if c.failed || len(c.rest) > 0 {
 		return nil, &ReportError{
 			reason: "it is cut or too long",
--- a/internal/encoder/report.go
+++ b/internal/encoder/report.go
@@ -38,6 +38,12 @@
 		b = appendText(b, m.Target())
 	}
 
+	b = binary.AppendUvarint(b, uint64(len(r.Positions())))
+	for _, p := range r.Positions() {
+		b = binary.AppendUvarint(b, uint64(p.Topic()))
+		b = binary.AppendUvarint(b, uint64(p.Next()))
+	}
+
 	return b
 }
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -59,6 +59,14 @@
 // loads returns the open requests of this VM.
 type loads func() []Load
 
+// reader reads a topic of the store.
+type reader interface {
+	// Position returns the offset up to which the topic has been read.
+	Position() subscriber.Offset
+	// Pass notes that another VM has read up to the offset.
+	Pass(to subscriber.Offset)
+}
+
 // Spec lists what a gossiper is joined with.
 type Spec struct {
 	// Conn is the socket of the VM, and Self its address as others know it.
@@ -84,6 +92,22 @@
 	turns    int
 	// pending is the evidence that the next report tells.
 	pending []Evidence
+	// readers are numbered by their places; they are set before Run.
+	readers []reader
+}
+
+// Follow tells the other VMs how far the topics are read, in the same order at
+// every VM. It must be called before Run.
+func (g *Gossiper) Follow(readers ...reader) { g.readers = readers }
+
+// positions returns how far this VM has read.
+func (g *Gossiper) positions() []Position {
+	list := make([]Position, len(g.readers))
+	for i, r := range g.readers {
+		list[i] = NewPosition(uint32(i), uint32(r.Position())) //nolint:gosec // Topics hold far fewer records in a day.
+	}
+
+	return list
 }
 
 // New returns a gossiper that knows no other VM.
@@ -203,6 +227,7 @@
 	r := g.report(now)
 	r.counts = counts
 	r.loads = open
+	r.positions = g.positions()
 	to := g.near(now)
 	if g.turns%distantTurns == 0 {
 		to = g.all()
@@ -328,4 +353,9 @@
 	for _, m := range r.marks {
 		g.spec.Quarantine.Apply(m)
 	}
+	for _, q := range r.positions {
+		if int(q.topic) < len(g.readers) {
+			g.readers[q.topic].Pass(subscriber.Offset(q.next))
+		}
+	}
 }
--- a/internal/gossiper/report.go
+++ b/internal/gossiper/report.go
@@ -47,6 +47,26 @@
 // Open returns the number of open requests.
 func (l Load) Open() uint32 { return l.open }
 
+// Position is how far one VM has read a topic of the store.
+type Position struct {
+	topic uint32
+	next  uint32
+}
+
+// NewPosition returns a position; the topic is given by its number.
+func NewPosition(topic, next uint32) Position {
+	return Position{
+		topic: topic,
+		next:  next,
+	}
+}
+
+// Topic returns the number of the topic.
+func (p Position) Topic() uint32 { return p.topic }
+
+// Next returns the offset up to which the topic was read.
+func (p Position) Next() uint32 { return p.next }
+
 // Report is what one VM tells the others.
 type Report struct {
 	// start tells the starts of a VM apart.
@@ -59,6 +79,8 @@
 	loads    []Load
 	evidence []Evidence
 	marks    []quarantiner.Mark
+	// positions tell how far the topics of the store were read.
+	positions []Position
 }
 
 // ReportSpec lists the attributes of a report.
@@ -70,18 +92,21 @@
 	Loads    []Load
 	Evidence []Evidence
 	Marks    []quarantiner.Mark
+	// Positions tell how far the topics of the store were read.
+	Positions []Position
 }
 
 // NewReport returns a report.
 func NewReport(s ReportSpec) *Report {
 	return &Report{
-		start:    s.Start,
-		sequence: s.Sequence,
-		leaving:  s.Leaving,
-		counts:   s.Counts,
-		loads:    s.Loads,
-		evidence: s.Evidence,
-		marks:    s.Marks,
+		start:     s.Start,
+		sequence:  s.Sequence,
+		leaving:   s.Leaving,
+		counts:    s.Counts,
+		loads:     s.Loads,
+		evidence:  s.Evidence,
+		marks:     s.Marks,
+		positions: s.Positions,
 	}
 }
 
@@ -103,5 +128,8 @@
 // Evidence returns the attempts since the report before.
 func (r *Report) Evidence() []Evidence { return r.evidence }
 
+// Positions returns how far the topics of the store were read.
+func (r *Report) Positions() []Position { return r.positions }
+
 // Marks returns what the VM tells about requests that end targets.
 func (r *Report) Marks() []quarantiner.Mark { return r.marks }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -38,8 +38,8 @@
 
 // Listener serves callers.
 type Listener struct {
-	chain  handler.Handler
-	clock  clock
+	chain handler.Handler
+	clock clock
 	// names tell whether paths are passed on as received.
 	names  *handler.Names
 	ln     net.Listener
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +19,13 @@
 	// doubles from one failure to the next.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
+	// fleetPause is the time after which, on average, some VM of the fleet asks
+	// the store anew: a call that waits may miss a change for ever. VMs tell each
+	// other how far they have read.
+	fleetPause = 400 * time.Millisecond
+	// leastWait and mostWait bound the time that one call waits.
+	leastWait = 500 * time.Millisecond
+	mostWait  = 25 * time.Second
 )
 
 // Offset numbers the records of a topic.
@@ -77,9 +86,9 @@
 	// Changes goes on.
 	Newest(ctx context.Context) ([]Record, Offset, error)
 	// Changes returns the records from the offset on and the offset after them.
-	// It waits for a record for a bounded time. The error is *ExpiredError where
-	// the records are no longer kept.
-	Changes(ctx context.Context, from Offset) ([]Record, Offset, error)
+	// It waits for a record for the given time at most. The error is
+	// *ExpiredError where the records are no longer kept.
+	Changes(ctx context.Context, from Offset, wait time.Duration) ([]Record, Offset, error)
 }
 
 // view takes records in.
@@ -94,6 +103,12 @@
 	Lost(now timer.Instant)
 }
 
+// crowd knows how many VMs ask the store.
+type crowd interface {
+	// Census returns how many VMs, this one included, are heard and known.
+	Census() (heard, known int)
+}
+
 type clock interface {
 	Now() timer.Instant
 	After(d time.Duration) *timer.Subscription
@@ -108,29 +123,54 @@
 	// gap is the least time between two calls that found records: a view that
 	// may be as old as that needs no call for each record.
 	gap    time.Duration
+	crowd  crowd
 	logger *logger.Logger
 	// next is the offset to read from, or unknown.
-	next Offset
+	next atomic.Int64
+	// ahead is the greatest offset that another VM has read to.
+	ahead atomic.Int64
+	// passed wakes a waiting call after another VM was found ahead.
+	passed chan struct{}
 	// lost is set while the store does not answer.
 	lost  bool
 	pause time.Duration
 }
 
 // unknown is the offset of a subscriber that must read the newest records.
-const unknown Offset = -1
+const unknown = -1
 
 // New returns a subscriber of the topic.
-func New(name string, t topic, v view, gap time.Duration, c clock, l *logger.Logger) *Subscriber {
-	return &Subscriber{
+func New(name string, t topic, v view, gap time.Duration, w crowd, c clock, l *logger.Logger) *Subscriber {
+	s := &Subscriber{
 		name:   name,
 		topic:  t,
 		view:   v,
 		clock:  c,
 		gap:    gap,
+		crowd:  w,
 		logger: l,
-		next:   unknown,
+		passed: make(chan struct{}, 1),
 		pause:  firstPause,
 	}
+	s.next.Store(unknown)
+
+	return s
+}
+
+// Position returns the offset up to which the topic has been read.
+func (s *Subscriber) Position() Offset { return Offset(max(0, s.next.Load())) }
+
+// Pass notes that another VM has read up to the offset. A call that waits is
+// made anew where this VM is behind.
+func (s *Subscriber) Pass(to Offset) {
+	if int64(to) <= s.ahead.Load() || int64(to) <= s.next.Load() {
+		return
+	}
+	s.ahead.Store(int64(to))
+	select {
+	case s.passed <- struct{}{}:
+	default:
+	}
 }
 
 // Name returns the controller's name.
@@ -159,27 +199,69 @@
 
 // step makes one call and reports whether it found records.
 func (s *Subscriber) step(ctx context.Context) (bool, error) {
-	if s.next == unknown {
+	if s.next.Load() == unknown {
 		return false, s.load(ctx)
 	}
-	records, next, err := s.topic.Changes(ctx, s.next)
+	records, next, err := s.poll(ctx)
 	var expired *ExpiredError
 	if errors.As(err, &expired) {
-		s.next = unknown
+		s.next.Store(unknown)
 
 		return false, nil
 	}
+	if errors.Is(err, errPassed) {
+		return false, nil
+	}
 	if err != nil {
 		return false, err
 	}
 	now := s.clock.Now()
 	s.view.Reached(now)
 	s.view.Update(now, records)
-	s.next = next
+	s.next.Store(int64(next))
 
 	return len(records) > 0, nil
 }
 
+// errPassed ends a call that waits while another VM has read further.
+var errPassed = errors.New("another VM has read further")
+
+// poll asks for changes, and waits for one unless another VM is ahead.
+func (s *Subscriber) poll(ctx context.Context) ([]Record, Offset, error) {
+	wait := s.patience()
+	if s.ahead.Load() > s.next.Load() {
+		wait = 0
+		s.ahead.Store(s.next.Load()) // One call is enough if the other VM was wrong.
+	}
+	asking, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-s.passed:
+			if wait > 0 && s.ahead.Load() > s.next.Load() {
+				cancel(errPassed)
+			}
+		case <-asking.Done():
+		}
+	}()
+	records, next, err := s.topic.Changes(asking, Offset(s.next.Load()), wait)
+	if err != nil && errors.Is(context.Cause(asking), errPassed) {
+		return nil, 0, errPassed
+	}
+
+	return records, next, err
+}
+
+// patience is the time that one call waits, so that the calls of the fleet
+// follow each other closely.
+func (s *Subscriber) patience() time.Duration {
+	heard, _ := s.crowd.Census()
+	mean := time.Duration(heard) * fleetPause
+	wait := mean/2 + rand.N(mean) //nolint:gosec // Spreads calls; nothing secret hangs on it.
+
+	return min(max(wait, leastWait), mostWait)
+}
+
 // load reads the newest record of each key. Where one of them cannot be used,
 // it goes on with the older records that are kept, so that the last usable one
 // is found.
@@ -190,7 +272,7 @@
 	}
 	now := s.clock.Now()
 	s.view.Reached(now)
-	s.next = next
+	s.next.Store(int64(next))
 	if s.view.Replace(now, records) {
 		return nil
 	}
@@ -205,13 +287,13 @@
 
 // kept returns the records that the store still keeps.
 func (s *Subscriber) kept(ctx context.Context) ([]Record, error) {
-	records, _, err := s.topic.Changes(ctx, 0)
+	records, _, err := s.topic.Changes(ctx, 0, 0)
 	var expired *ExpiredError
 	if errors.As(err, &expired) {
-		if expired.first >= s.next {
+		if int64(expired.first) >= s.next.Load() {
 			return nil, nil
 		}
-		records, _, err = s.topic.Changes(ctx, expired.first)
+		records, _, err = s.topic.Changes(ctx, expired.first, 0)
 	}
 
 	return records, err
@@ -227,7 +309,7 @@
 
 func (s *Subscriber) succeeded() {
 	if s.lost {
-		s.logger.Log(logger.StoreRegained, logger.Text("topic", s.name), logger.Int("offset", int64(s.next)))
+		s.logger.Log(logger.StoreRegained, logger.Text("topic", s.name), logger.Int("offset", s.next.Load()))
 	}
 	s.lost = false
 	s.pause = firstPause
