--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -18,7 +18,7 @@
 
 // returnTime is how long targets have to list themselves again after the store
 // was away: their entries may have lapsed although they work.
-const returnTime = 2200 * time.Millisecond
+const returnTime = 2 * time.Second
 
 // Entry is what the list says of a target.
 type Entry struct {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -18,7 +18,7 @@
 	// firstPause and longestPause bound the pause after a failed call; it
 	// doubles from one failure to the next.
 	firstPause   = 100 * time.Millisecond
-	longestPause = 800 * time.Millisecond
+	longestPause = 300 * time.Millisecond
 	// fleetPause is the time after which, on average, some VM of the fleet asks
 	// the store anew: a call that waits may miss a change for ever. VMs tell each
 	// other how far they have read.
