Choose targets by expected loss, from evidence that lives eight seconds

Ruled out: reports too late (one failure in ten came within 100 ms of another's). Change: a choice weighs the risk against the time that the target's open requests cost, by the open requests that every VM reports for each target; silent attempts of repeatable requests are given up once the target is likely to fail; connecting takes at most 0.3 s.

--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -18,7 +18,6 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
 	"github.com/lagoonkeel/lagoonkeel/internal/gossiper"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
-	"github.com/lagoonkeel/lagoonkeel/internal/hasher"
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/meter"
@@ -214,11 +213,11 @@
 	return mux
 }
 
-// loads returns the open requests of this VM at each service.
+// loads returns the open requests of this VM at each target.
 func (v *StoreVM) loads() []gossiper.Load {
 	var list []gossiper.Load
-	v.placer.Open(func(service string, open int) {
-		list = append(list, gossiper.NewLoad(hasher.Sum(service), uint32(open))) //nolint:gosec // A few hundred at most.
+	v.placer.Open(func(k estimator.Key, open int) {
+		list = append(list, gossiper.NewLoad(k, uint32(open))) //nolint:gosec // A few hundred at most.
 	})
 
 	return list
--- a/internal/decoder/report.go
+++ b/internal/decoder/report.go
@@ -113,7 +113,7 @@
 	c.each(func() {
 		spec.Counts = append(spec.Counts, tallier.NewCount(tallier.Account(c.word()), c.number(), c.number()))
 	})
-	c.each(func() { spec.Loads = append(spec.Loads, gossiper.NewLoad(c.word(), c.number())) })
+	c.each(func() { spec.Loads = append(spec.Loads, gossiper.NewLoad(estimator.Key(c.word()), c.number())) })
 	c.each(func() {
 		e := gossiper.NewEvidence(estimator.Key(c.word()), estimator.Outcome(c.octet()))
 		if e.Outcome().Valid() {
--- a/internal/encoder/report.go
+++ b/internal/encoder/report.go
@@ -24,7 +24,7 @@
 	}
 	b = binary.AppendUvarint(b, uint64(len(r.Loads())))
 	for _, l := range r.Loads() {
-		b = binary.BigEndian.AppendUint32(b, l.Service())
+		b = binary.BigEndian.AppendUint32(b, uint32(l.Target()))
 		b = binary.AppendUvarint(b, uint64(l.Open()))
 	}
 	b = binary.AppendUvarint(b, uint64(len(r.Evidence())))
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -67,7 +67,7 @@
 // likelihoods of the outcomes. A working target fails about one request in
 // eighty.
 var likelihoods = map[Outcome]likelihood{
-	OutcomeServed:      {working: 0.985, failing: 0.2},
+	OutcomeServed:      {working: 0.985, failing: 0.15},
 	OutcomeFailed:      {working: 0.012, failing: 0.8},
 	OutcomeBroken:      {working: 0.004, failing: 0.4},
 	OutcomeSilent:      {working: 0.02, failing: 0.4},
@@ -78,17 +78,45 @@
 const (
 	// usualRisk is the likelihood of failing of a target of which nothing is
 	// known.
-	usualRisk = 0.25
+	usualRisk = 0.3
 	// usualPathRisk is that of the path from this VM to a target.
 	usualPathRisk = 0.02
-	// memory is the time constant by which evidence loses its weight.
-	memory = 3 * time.Second
+	// newRisk is the risk of a target without any evidence.
+	newRisk = 0.1
+	// memory and pathMemory are the time constants by which evidence about a
+	// target and about the path to it lose their weight: targets fail for many
+	// seconds at a time.
+	memory     = 8 * time.Second
+	pathMemory = 5 * time.Second
 	// leastRisk keeps a target from being trusted or condemned for ever.
 	leastRisk = 0.002
 	// forgetTime is how long a target without evidence is remembered.
 	forgetTime = time.Minute
 )
 
+// usual is what holds without evidence.
+type usual struct {
+	// risk is what evidence decays to, with the time constant memory.
+	risk   float64
+	memory time.Duration
+	// first is the risk before the first evidence.
+	first float64
+}
+
+// What is usual of targets and of the paths to them.
+var (
+	usualTarget = usual{
+		risk:   usualRisk,
+		memory: memory,
+		first:  newRisk,
+	}
+	usualPath = usual{
+		risk:   usualPathRisk,
+		memory: pathMemory,
+		first:  usualPathRisk,
+	}
+)
+
 // belief is one likelihood at an instant.
 type belief struct {
 	risk float64
@@ -96,21 +124,21 @@
 }
 
 // now returns the likelihood at the instant, drawn towards what is usual.
-func (b belief) now(t timer.Instant, usual float64) float64 {
+func (b belief) now(t timer.Instant, u usual) float64 {
 	age := t.Sub(b.at)
 	if b.at == 0 {
-		return usual
+		return u.first
 	}
 	if age <= 0 {
 		return b.risk
 	}
 
-	return usual + (b.risk-usual)*math.Exp(-float64(age)/float64(memory))
+	return u.risk + (b.risk-u.risk)*math.Exp(-float64(age)/float64(u.memory))
 }
 
 // update returns the likelihood after the outcome.
-func (b belief) update(t timer.Instant, usual float64, l likelihood) belief {
-	r := b.now(t, usual)
+func (b belief) update(t timer.Instant, u usual, l likelihood) belief {
+	r := b.now(t, u)
 	r = r * l.failing / (r*l.failing + (1-r)*l.working)
 
 	return belief{
@@ -146,9 +174,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	t := e.target(k)
-	t.whole = t.whole.update(now, usualRisk, likelihoods[o])
+	t.whole = t.whole.update(now, usualTarget, likelihoods[o])
 	if aboutPath(o) {
-		t.path = t.path.update(now, usualPathRisk, likelihoods[o])
+		t.path = t.path.update(now, usualPath, likelihoods[o])
 	}
 }
 
@@ -162,7 +190,7 @@
 		l = weaken(l)
 	}
 	t := e.target(k)
-	t.whole = t.whole.update(now, usualRisk, l)
+	t.whole = t.whole.update(now, usualTarget, l)
 }
 
 // weaken returns the likelihood of an outcome that has another cause half of
@@ -186,10 +214,10 @@
 	defer e.mu.Unlock()
 	t, ok := e.targets[k]
 	if !ok {
-		return usualRisk
+		return newRisk
 	}
 
-	return 1 - (1-t.whole.now(now, usualRisk))*(1-t.path.now(now, usualPathRisk))
+	return 1 - (1-t.whole.now(now, usualTarget))*(1-t.path.now(now, usualPath))
 }
 
 // Forget drops targets that have had no evidence for long.
--- a/internal/filterer/place.go
+++ b/internal/filterer/place.go
@@ -41,11 +41,15 @@
 
 // Handle chooses a target.
 func (p *Place) Handle(ctx context.Context, x *handler.Exchange, next handler.Handler) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	a, ok := p.placer.Begin(p.clock.Now(), placer.Choice{
-		Service: x.Service().Name(),
-		Route:   x.Route().Name(),
-		Aim:     x.Route().Aim(),
-		Tried:   x.Tried(),
+		Service:    x.Service().Name(),
+		Route:      x.Route().Name(),
+		Aim:        x.Route().Aim(),
+		Tried:      x.Tried(),
+		Repeatable: x.Idempotent() && len(x.Tried()) == 0,
+		Abandon:    func() { cancel(handler.ErrAbandoned) },
 	})
 	if !ok {
 		wait := noTargetWait/2 + rand.N(noTargetWait/2) //nolint:gosec // Spreads callers; nothing secret hangs on it.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -323,6 +323,8 @@
 	var interim *interimError
 	var timeout net.Error
 	switch {
+	case errors.Is(context.Cause(ctx), handler.ErrAbandoned):
+		return handler.FaultSlow
 	case ctx.Err() != nil:
 		return handler.FaultCanceled
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection.
-	dialTimeout = time.Second
+	// dialTimeout bounds the opening of a connection: targets are a few
+	// milliseconds away, and another may be tried.
+	dialTimeout = 300 * time.Millisecond
 	// maxIdleAge bounds how long a connection may wait for its next request.
 	maxIdleAge = 10 * time.Second
 	// recentUse bounds the idle time of a connection that may carry a request
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -92,6 +93,9 @@
 	turns    int
 	// pending is the evidence that the next report tells.
 	pending []Evidence
+	// open holds the open requests of the other VMs at each target; it is
+	// replaced as a whole.
+	open atomic.Pointer[map[estimator.Key]int]
 	// readers are numbered by their places; they are set before Run.
 	readers []reader
 }
@@ -112,10 +116,13 @@
 
 // New returns a gossiper that knows no other VM.
 func New(s Spec) *Gossiper {
-	return &Gossiper{
+	g := &Gossiper{
 		spec:   s,
 		roster: newRoster(),
 	}
+	g.open.Store(&map[estimator.Key]int{})
+
+	return g
 }
 
 // Name returns the controller's name.
@@ -185,14 +192,9 @@
 	return g.roster.census(g.spec.Clock.Now())
 }
 
-// Open returns the number of open requests of the other VMs at the service,
-// which is given by its number.
-func (g *Gossiper) Open(service uint32) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-
-	return g.roster.open(g.spec.Clock.Now(), service)
-}
+// Open returns the number of open requests of the other VMs at the target, by
+// what they told last.
+func (g *Gossiper) Open(k estimator.Key) int { return (*g.open.Load())[k] }
 
 // Replace takes in the addresses of all VMs.
 func (g *Gossiper) Replace(now timer.Instant, records []subscriber.Record) bool {
@@ -338,6 +340,8 @@
 		}
 		if len(r.loads) > 0 || len(r.counts) > 0 {
 			p.loads = r.loads
+			open := g.roster.load(now)
+			g.open.Store(&open)
 		}
 	}
 	g.mu.Unlock()
--- a/internal/gossiper/report.go
+++ b/internal/gossiper/report.go
@@ -26,23 +26,22 @@
 // Outcome returns the outcome.
 func (e Evidence) Outcome() estimator.Outcome { return e.outcome }
 
-// Load is the number of requests that one VM has open at the targets of a
-// service.
+// Load is the number of requests that one VM has open at a target.
 type Load struct {
-	service uint32
-	open    uint32
+	target estimator.Key
+	open   uint32
 }
 
-// NewLoad returns a load; the service is given by its number.
-func NewLoad(service, open uint32) Load {
+// NewLoad returns a load.
+func NewLoad(target estimator.Key, open uint32) Load {
 	return Load{
-		service: service,
-		open:    open,
+		target: target,
+		open:   open,
 	}
 }
 
-// Service returns the number of the service.
-func (l Load) Service() uint32 { return l.service }
+// Target returns the target.
+func (l Load) Target() estimator.Key { return l.target }
 
 // Open returns the number of open requests.
 func (l Load) Open() uint32 { return l.open }
@@ -122,7 +121,7 @@
 // Counts returns the counts that changed.
 func (r *Report) Counts() []tallier.Count { return r.counts }
 
-// Loads returns the open requests of each service that has some.
+// Loads returns the open requests at each target that has some.
 func (r *Report) Loads() []Load { return r.loads }
 
 // Evidence returns the attempts since the report before.
--- a/internal/gossiper/roster.go
+++ b/internal/gossiper/roster.go
@@ -1,9 +1,9 @@
 package gossiper
 
 import (
-	"slices"
 	"time"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
@@ -117,17 +117,17 @@
 	return heard, known
 }
 
-// open returns the number of open requests of the other VMs at the service.
-func (r *roster) open(now timer.Instant, service uint32) int {
-	n := 0
+// load returns the open requests of the audible VMs at each target.
+func (r *roster) load(now timer.Instant) map[estimator.Key]int {
+	open := map[estimator.Key]int{}
 	for _, p := range r.peers {
 		if !p.audible(now) {
 			continue
 		}
-		if i := slices.IndexFunc(p.loads, func(l Load) bool { return l.service == service }); i >= 0 {
-			n += int(p.loads[i].open)
+		for _, l := range p.loads {
+			open[l.target] += int(l.open)
 		}
 	}
 
-	return n
+	return open
 }
--- a/internal/handler/attempt.go
+++ b/internal/handler/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
@@ -45,6 +47,10 @@
 	FaultCanceled Fault = "canceled"
 )
 
+// ErrAbandoned is the cause of a context that ends an attempt whose target is
+// not likely to answer.
+var ErrAbandoned = errors.New("the target is not likely to answer")
+
 // Attempt is the result of sending a request to one target.
 type Attempt struct {
 	target *manifester.Target
--- /dev/null
+++ b/internal/placer/choice.go
@@ -0,0 +1,102 @@
+package placer
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
+)
+
+const (
+	// repeatableLoss is what a failure costs a request that may be sent to
+	// another target, as a part of what it costs any other.
+	repeatableLoss = 0.35
+	// lateLoss is the part of its worth that an answer loses after the aim.
+	lateLoss = 0.8
+	// easyPart and lostPart are the parts of the aim between which an answer
+	// becomes more and more likely to be late.
+	easyPart = 0.5
+	lostPart = 1.3
+	// farLoss is what a request to another data centre costs.
+	farLoss = 0.01
+	// spread is the difference in loss that makes one target e times as likely
+	// to be chosen as another.
+	spread = 0.03
+)
+
+// candidate is a target that may be chosen.
+type candidate struct {
+	member *registrar.Member
+	// risk is the likelihood that the request fails there.
+	risk float64
+	// slots is the number of requests that the target runs at once; above 0.
+	slots float64
+	// open is the number of attempts of the fleet that are open there.
+	open float64
+	near bool
+}
+
+// demand is what a request asks of its target.
+type demand struct {
+	// usual is the usual time to an answer, and aim the time within which it is
+	// worth most; 0 where unknown.
+	usual      time.Duration
+	aim        time.Duration
+	repeatable bool
+}
+
+// loss is the part of a request's worth that is likely lost at the target.
+func (c candidate) loss(d demand) float64 {
+	weight := 1.0
+	if d.repeatable {
+		weight = repeatableLoss
+	}
+	late := lateLoss * c.lateness(d)
+	loss := weight*c.risk + (1-c.risk)*late
+	if !c.near {
+		loss += farLoss
+	}
+
+	return loss
+}
+
+// lateness is how likely an answer comes after the aim: what waits before a
+// slot is free has to be worked off first.
+func (c candidate) lateness(d demand) float64 {
+	if d.aim <= 0 {
+		return math.Min(1, c.waiting()/c.slots)
+	}
+	expected := d.usual.Seconds() * (1 + c.waiting()/c.slots)
+	part := expected / d.aim.Seconds()
+
+	return math.Min(1, math.Max(0, (part-easyPart)/(lostPart-easyPart)))
+}
+
+// waiting is the number of requests that wait for a slot, this one included.
+func (c candidate) waiting() float64 { return math.Max(0, c.open+1-c.slots) }
+
+// choose returns the index of a target, the likelier the less is lost there and
+// the more room it has; -1 without targets.
+func choose(list []candidate, d demand) int {
+	losses := make([]float64, len(list))
+	least := math.Inf(1)
+	for i, c := range list {
+		losses[i] = c.loss(d)
+		least = math.Min(least, losses[i])
+	}
+	total := 0.0
+	weights := losses
+	for i, c := range list {
+		weights[i] = math.Exp((least-losses[i])/spread) * c.slots / (1 + c.open)
+		total += weights[i]
+	}
+	at := rand.Float64() * total //nolint:gosec // Spreads load; nothing secret hangs on it.
+	for i, w := range weights {
+		if at -= w; at < 0 {
+			return i
+		}
+	}
+
+	return len(list) - 1
+}
--- a/internal/placer/pace.go
+++ b/internal/placer/pace.go
@@ -47,6 +47,15 @@
 	s.usual += time.Duration(paceGain * float64(took-s.usual))
 }
 
+// expected returns the usual time to an answer.
+func (s *pace) expected() time.Duration {
+	if s.samples > 0 {
+		return s.usual
+	}
+
+	return s.aim / lateFactor
+}
+
 // late returns the time after which an answer is late.
 func (s *pace) late() time.Duration {
 	if s.samples >= paceSamples {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -3,36 +3,27 @@
 package placer
 
 import (
-	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
-	"github.com/lagoonkeel/lagoonkeel/internal/hasher"
 	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
 const (
-	// utilization is the part of the slots of the targets in use that the
-	// service's work should fill.
-	utilization = 0.6
-	// leastTargets is the number of targets in use at least.
-	leastTargets = 2
-	// riskStep is the difference in risk below which targets count as equal.
-	riskStep = 0.02
+	// coldFactor is the part of its slots that a target has while it is slow
+	// after its start.
+	coldFactor = 0.5
 	// fullTime is how long a target that had no room is passed over.
 	fullTime = 250 * time.Millisecond
-	// nearFactor is the preference for targets of the VM's own data centre.
-	nearFactor = 1.5
-	// coldFactor is the part of its work that a target gets while it is slow
-	// after its start.
-	coldFactor = 0.4
 	// overduePeriod is the time between two looks for overdue attempts.
-	overduePeriod = 200 * time.Millisecond
+	overduePeriod = 100 * time.Millisecond
+	// abandonRisk is the risk of its target above which an overdue attempt is
+	// given up, where the request may be sent elsewhere.
+	abandonRisk = 0.5
 )
 
 type list interface {
@@ -55,7 +46,8 @@
 
 // fleet knows the work of the other VMs.
 type fleet interface {
-	Open(service uint32) int
+	// Open returns the number of their open attempts at the target.
+	Open(k estimator.Key) int
 }
 
 type clock interface {
@@ -77,13 +69,14 @@
 // Attempt is one open attempt at a target.
 type Attempt struct {
 	member  *registrar.Member
-	service string
 	route   string
 	started timer.Instant
 	// overdue is the instant from which on the attempt counts as silent; told is
 	// set once that was said.
 	overdue timer.Instant
 	told    bool
+	// abandon gives the attempt up; nil where its request must not be sent again.
+	abandon func()
 }
 
 // Member returns the target.
@@ -99,9 +92,8 @@
 	// mu guards what follows; it is held for one choice.
 	mu   sync.Mutex
 	open map[*Attempt]struct{}
-	// perTarget and perService count the open attempts.
-	perTarget  map[estimator.Key]int
-	perService map[string]int
+	// perTarget counts the open attempts.
+	perTarget map[estimator.Key]int
 	// full holds the instants until which targets are passed over.
 	full  map[estimator.Key]timer.Instant
 	paces map[string]*pace
@@ -110,12 +102,11 @@
 // New returns a placer without open attempts.
 func New(s Spec) *Placer {
 	return &Placer{
-		spec:       s,
-		open:       map[*Attempt]struct{}{},
-		perTarget:  map[estimator.Key]int{},
-		perService: map[string]int{},
-		full:       map[estimator.Key]timer.Instant{},
-		paces:      map[string]*pace{},
+		spec:      s,
+		open:      map[*Attempt]struct{}{},
+		perTarget: map[estimator.Key]int{},
+		full:      map[estimator.Key]timer.Instant{},
+		paces:     map[string]*pace{},
 	}
 }
 
@@ -138,44 +129,44 @@
 	Aim time.Duration
 	// Tried are the names of the targets that were tried before.
 	Tried []string
-}
-
-// candidate is a target that may be chosen.
-type candidate struct {
-	member *registrar.Member
-	risk   float64
-	// room is the number of slots that this VM may count on.
-	room float64
-	near bool
+	// Repeatable requests may be sent to another target after a failure.
+	Repeatable bool
+	// Abandon gives the attempt up; it is not called for others than repeatable
+	// requests.
+	Abandon func()
 }
 
 // Begin chooses a target and counts the attempt as open; false where no target
 // is left. End must be called for each attempt.
 func (p *Placer) Begin(now timer.Instant, c Choice) (*Attempt, bool) {
-	others := p.spec.Fleet.Open(hasher.Sum(c.Service))
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	pace := p.pace(c.Route, c.Aim)
 	list := p.candidates(now, c)
-	if len(list) == 0 {
+	i := choose(list, demand{
+		usual:      pace.expected(),
+		aim:        pace.aim,
+		repeatable: c.Repeatable,
+	})
+	if i < 0 {
 		return nil, false
 	}
-	work := float64(others + p.perService[c.Service] + 1)
-	m := p.choose(inUse(list, work))
 	a := &Attempt{
-		member:  m,
-		service: c.Service,
+		member:  list[i].member,
 		route:   c.Route,
 		started: now,
-		overdue: now.Add(p.pace(c.Route, c.Aim).late()),
+		overdue: now.Add(pace.late()),
+	}
+	if c.Repeatable {
+		a.abandon = c.Abandon
 	}
 	p.open[a] = struct{}{}
-	p.perTarget[m.Key()]++
-	p.perService[c.Service]++
+	p.perTarget[a.member.Key()]++
 
 	return a, true
 }
 
-// candidates returns the targets that may be chosen, the best first.
+// candidates returns the targets that may be chosen.
 func (p *Placer) candidates(now timer.Instant, c Choice) []candidate {
 	members := p.spec.List.Members(c.Service)
 	list := make([]candidate, 0, len(members))
@@ -184,69 +175,22 @@
 		if !m.Listed(now) || slices.Contains(c.Tried, t.Name()) || now.Before(p.full[m.Key()]) {
 			continue
 		}
-		room := float64(t.Slots())
+		slots := float64(t.Slots())
 		if m.Cold(now) {
-			room *= coldFactor
+			slots *= coldFactor
 		}
 		list = append(list, candidate{
 			member: m,
 			risk:   p.spec.Risks.Risk(now, m.Key()),
-			room:   room,
+			slots:  slots,
+			open:   float64(p.perTarget[m.Key()] + p.spec.Fleet.Open(m.Key())),
 			near:   t.DataCentre() == p.spec.DataCentre,
 		})
 	}
-	slices.SortFunc(list, better)
 
 	return list
 }
 
-// better orders targets by risk; those of equal risk by a number, the same at
-// every VM, so that all use the same few.
-func better(a, b candidate) int {
-	if d := int(a.risk/riskStep) - int(b.risk/riskStep); d != 0 {
-		return d
-	}
-
-	return cmp.Compare(a.member.Key(), b.member.Key())
-}
-
-// inUse returns the best targets that together have room for the work of the
-// fleet, and all others that are as good as the last of them.
-func inUse(list []candidate, work float64) []candidate {
-	room := 0.0
-	for i, c := range list {
-		room += c.room * utilization
-		if i+1 >= leastTargets && room >= work {
-			return list[:i+1]
-		}
-	}
-
-	return list
-}
-
-// choose returns one of the targets, each as likely as it has room that is not
-// in use by this VM.
-func (p *Placer) choose(list []candidate) *registrar.Member {
-	weights := make([]float64, len(list))
-	total := 0.0
-	for i, c := range list {
-		w := c.room / float64(1+2*p.perTarget[c.member.Key()])
-		if c.near {
-			w *= nearFactor
-		}
-		weights[i] = w
-		total += w
-	}
-	at := rand.Float64() * total //nolint:gosec // Spreads load; nothing secret hangs on it.
-	for i, w := range weights {
-		if at -= w; at < 0 {
-			return list[i].member
-		}
-	}
-
-	return list[len(list)-1].member
-}
-
 // Result is how an attempt ended.
 type Result struct {
 	// Outcome is what it says about the target; 0 where it says nothing.
@@ -261,7 +205,6 @@
 	p.mu.Lock()
 	delete(p.open, a)
 	release(p.perTarget, k)
-	release(p.perService, a.service)
 	if r.Full {
 		p.full[k] = now.Add(fullTime)
 	} else {
@@ -284,28 +227,41 @@
 	}
 }
 
-// Open calls f with the number of open attempts at each service.
-func (p *Placer) Open(f func(service string, open int)) {
+// Open calls f with the number of open attempts at each target that has some.
+func (p *Placer) Open(f func(k estimator.Key, open int)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for s, n := range p.perService {
-		f(s, n)
+	for k, n := range p.perTarget {
+		f(k, n)
 	}
 }
 
-// watch tells of attempts whose answer does not come.
+// watch tells of attempts whose answer does not come, and gives up those whose
+// target probably fails.
 func (p *Placer) watch(now timer.Instant) {
 	var silent []estimator.Key
+	var overdue []*Attempt
 	p.mu.Lock()
 	for a := range p.open {
-		if !a.told && !now.Before(a.overdue) {
+		if now.Before(a.overdue) {
+			continue
+		}
+		if !a.told {
 			a.told = true
 			silent = append(silent, a.member.Key())
 		}
+		if a.abandon != nil {
+			overdue = append(overdue, a)
+		}
 	}
 	p.mu.Unlock()
 	for _, k := range silent {
 		p.spec.Witness.Observe(now, k, estimator.OutcomeSilent)
 		p.spec.Teller.Saw(k, estimator.OutcomeSilent)
 	}
+	for _, a := range overdue {
+		if p.spec.Risks.Risk(now, a.member.Key()) > abandonRisk {
+			a.abandon()
+		}
+	}
 }
