--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -19,10 +19,10 @@
 	easyPart = 0.5
 	lostPart = 1.3
 	// farLoss is what a request to another data centre costs.
-	farLoss = 0.01
+	farLoss = 0.02
 	// spread is the difference in loss that makes one target e times as likely
 	// to be chosen as another.
-	spread = 0.03
+	spread = 0.08
 )
 
 // candidate is a target that may be chosen.
