Give each target that rested a request

Now a limit fills from the start of the process, and a target that probably works and that nobody used for 0.8 s gets six in a hundred of the requests.

--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -86,7 +86,7 @@
 		registrar: registrar.New(adapter.Target, l),
 		estimator: estimator.New(),
 	}
-	v.tallier = tallier.New(newLimits(v.adopter))
+	v.tallier = tallier.New(v.timers.Now(), newLimits(v.adopter))
 	var err error
 	if v.tracer, err = tracer.New(context.Background(), s.Tracing(), s.ID()); err != nil {
 		return nil, err
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -207,6 +207,19 @@
 	return o == OutcomeServed || o == OutcomeSilent || o == OutcomeUnreachable
 }
 
+// Age returns the time since the last evidence about the target, or false where
+// there is none.
+func (e *Estimator) Age(now timer.Instant, k Key) (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	t, ok := e.targets[k]
+	if !ok {
+		return 0, false
+	}
+
+	return now.Sub(t.whole.at), true
+}
+
 // Risk returns the likelihood that the next request of this VM to the target
 // fails for a reason that lies in the target or the path.
 func (e *Estimator) Risk(now timer.Instant, k Key) float64 {
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -20,6 +20,13 @@
 	lostPart = 1.3
 	// farLoss is what a request to another data centre costs.
 	farLoss = 0.02
+	// restTime is the time after which a target that nobody used is due for a
+	// request, if its risk is at most restRisk; restPart is the part of the
+	// requests that it then gets, so that the fleet knows of most of the targets
+	// that work.
+	restTime = 800 * time.Millisecond
+	restRisk = 0.45
+	restPart = 0.06
 	// spread is the difference in loss that makes one target e times as likely
 	// to be chosen as another.
 	spread = 0.08
@@ -34,9 +41,14 @@
 	slots float64
 	// open is the number of attempts of the fleet that are open there.
 	open float64
-	near bool
+	// rested is set where there was no evidence lately.
+	rested bool
+	near   bool
 }
 
+// due reports whether the target should get a request because nobody used it.
+func (c candidate) due() bool { return c.rested && c.open == 0 && c.risk <= restRisk }
+
 // demand is what a request asks of its target.
 type demand struct {
 	// usual is the usual time to an answer, and aim the time within which it is
@@ -91,6 +103,12 @@
 		weights[i] = math.Exp((least-losses[i])/spread) * c.slots / (1 + c.open)
 		total += weights[i]
 	}
+	for i, c := range list {
+		if least := restPart * total; c.due() && weights[i] < least {
+			total += least - weights[i]
+			weights[i] = least
+		}
+	}
 	at := rand.Float64() * total //nolint:gosec // Spreads load; nothing secret hangs on it.
 	for i, w := range weights {
 		if at -= w; at < 0 {
--- a/internal/tallier/tallier.go
+++ b/internal/tallier/tallier.go
@@ -117,12 +117,15 @@
 	// that it knows of; known is at least 1.
 	heard int
 	known int
+	// began is when this VM started to count.
+	began timer.Instant
 }
 
-// New returns a tallier of a VM that knows no other.
-func New(r resolver) *Tallier {
+// New returns a tallier of a VM that knows no other and counts from now on.
+func New(now timer.Instant, r resolver) *Tallier {
 	return &Tallier{
 		limits:   r,
+		began:    now,
 		accounts: map[Account]*account{},
 		heard:    1,
 		known:    1,
@@ -253,7 +256,7 @@
 	a, ok := t.accounts[name]
 	if !ok {
 		a = &account{
-			level:   l.burst * startLevel,
+			level:   min(l.burst, l.burst*startLevel+l.rate*t.presence()*now.Sub(t.began).Seconds()),
 			at:      now,
 			changed: now,
 		}
