--- a/internal/decoder/report.go
+++ b/internal/decoder/report.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/encoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
@@ -108,8 +109,10 @@
 	spec := gossiper.ReportSpec{
 		Start:    c.number(),
 		Sequence: c.number(),
-		Leaving:  c.octet() == 1,
 	}
+	flags := c.octet()
+	spec.Leaving = flags&encoder.ReportLeaving != 0
+	spec.Asking = flags&encoder.ReportAsking != 0
 	c.each(func() {
 		spec.Counts = append(spec.Counts, tallier.NewCount(tallier.Account(c.word()), c.number(), c.number()))
 	})
@@ -122,6 +125,10 @@
 	})
 	c.each(func() { spec.Marks = append(spec.Marks, readMark(c)) })
 	c.each(func() { spec.Positions = append(spec.Positions, gossiper.NewPosition(c.number(), c.number())) })
+	c.each(func() {
+		spec.Beliefs = append(spec.Beliefs, estimator.NewBelief(estimator.Key(c.word()),
+			float64(c.octet())/encoder.RiskScale, time.Duration(c.number())*time.Millisecond))
+	})
 	if c.failed || len(c.rest) > 0 {
 		return nil, &ReportError{
 			reason: "it is cut or too long",
--- a/internal/encoder/report.go
+++ b/internal/encoder/report.go
@@ -9,13 +9,22 @@
 // ReportFormat is the first byte of a report; it changes with the format.
 const ReportFormat = 1
 
+// The flags of a report.
+const (
+	ReportLeaving = 1
+	ReportAsking  = 2
+)
+
+// RiskScale is the number that stands for a risk of 1.
+const RiskScale = 255
+
 // Report encodes a report of one VM to the others: whole numbers of varying
 // length, and lists and texts with their length before them.
 func Report(r *gossiper.Report) []byte {
 	b := []byte{ReportFormat}
 	b = binary.AppendUvarint(b, uint64(r.Start()))
 	b = binary.AppendUvarint(b, uint64(r.Sequence()))
-	b = append(b, flag(r.Leaving()))
+	b = append(b, flag(r.Leaving(), ReportLeaving)|flag(r.Asking(), ReportAsking))
 	b = binary.AppendUvarint(b, uint64(len(r.Counts())))
 	for _, c := range r.Counts() {
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Account()))
@@ -44,12 +53,19 @@
 		b = binary.AppendUvarint(b, uint64(p.Next()))
 	}
 
+	b = binary.AppendUvarint(b, uint64(len(r.Beliefs())))
+	for _, l := range r.Beliefs() {
+		b = binary.BigEndian.AppendUint32(b, uint32(l.Target()))
+		b = append(b, byte(l.Risk()*RiskScale))
+		b = binary.AppendUvarint(b, uint64(max(0, l.Age().Milliseconds()))) //nolint:gosec // Not below 0.
+	}
+
 	return b
 }
 
-func flag(v bool) byte {
+func flag(v bool, bit byte) byte {
 	if v {
-		return 1
+		return bit
 	}
 
 	return 0
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,8 +34,14 @@
 	distantTurns = 8
 	// maxDatagram bounds a report in bytes.
 	maxDatagram = 8 << 10
-	// maxEvidence bounds the evidence of one report.
+	// maxEvidence and maxBeliefs bound the lists of one report, so that it fits
+	// one packet.
 	maxEvidence = 200
+	maxBeliefs  = 160
+	// askTurns is the number of periods in which a new VM asks others for what
+	// they believe, and askedVMs the number of VMs that it asks each time.
+	askTurns = 8
+	askedVMs = 2
 )
 
 type clock interface {
@@ -47,9 +55,13 @@
 	Decode(data []byte) (*Report, error)
 }
 
-// listener takes in what other VMs saw.
-type listener interface {
+// evidence holds what this VM and others saw.
+type evidence interface {
 	Hear(now timer.Instant, k estimator.Key, o estimator.Outcome)
+	// Beliefs returns what follows from it, and Adopt takes over what follows
+	// from the evidence of another VM.
+	Beliefs(now timer.Instant) []estimator.Belief
+	Adopt(now timer.Instant, list []estimator.Belief)
 }
 
 // quarantine takes in what other VMs tell about requests that end targets.
@@ -77,7 +89,7 @@
 	Codec      codec
 	Clock      clock
 	Tallier    *tallier.Tallier
-	Evidence   listener
+	Evidence   evidence
 	Quarantine quarantine
 	Loads      loads
 	Logger     *logger.Logger
@@ -93,6 +105,9 @@
 	turns    int
 	// pending is the evidence that the next report tells.
 	pending []Evidence
+	// asks is the number of periods in which this VM still asks others for what
+	// they believe.
+	asks int
 	// open holds the open requests of the other VMs at each target; it is
 	// replaced as a whole.
 	open atomic.Pointer[map[estimator.Key]int]
@@ -119,6 +134,7 @@
 	g := &Gossiper{
 		spec:   s,
 		roster: newRoster(),
+		asks:   askTurns,
 	}
 	g.open.Store(&map[estimator.Key]int{})
 
@@ -206,6 +222,7 @@
 // Update takes in addresses of VMs.
 func (g *Gossiper) Update(now timer.Instant, records []subscriber.Record) {
 	g.mu.Lock()
+	defer g.ask()
 	defer g.mu.Unlock()
 	for _, r := range records {
 		if _, err := netip.ParseAddrPort(r.Key()); err == nil && r.Key() != g.spec.Self && !r.Removed() {
@@ -220,8 +237,37 @@
 // Lost implements the subscriber's view.
 func (g *Gossiper) Lost(timer.Instant) {}
 
+// ask asks some VMs for what they believe, until one has answered.
+func (g *Gossiper) ask() {
+	g.mu.Lock()
+	if g.asks == 0 || len(g.roster.peers) == 0 {
+		g.mu.Unlock()
+
+		return
+	}
+	g.asks--
+	r := g.brief()
+	r.asking = true
+	to := g.all()
+	g.mu.Unlock()
+	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+	g.send(r, to[:min(askedVMs, len(to))])
+}
+
+// answer tells a new VM what this one believes.
+func (g *Gossiper) answer(now timer.Instant, to string) {
+	for list := range slices.Chunk(g.spec.Evidence.Beliefs(now), maxBeliefs) {
+		g.mu.Lock()
+		r := g.brief()
+		r.beliefs = list
+		g.mu.Unlock()
+		g.send(r, []string{to})
+	}
+}
+
 // turn reports to the others.
 func (g *Gossiper) turn(now timer.Instant) {
+	g.ask()
 	counts := g.spec.Tallier.Turn(now)
 	open := g.spec.Loads()
 	g.mu.Lock()
@@ -343,6 +389,9 @@
 			open := g.roster.load(now)
 			g.open.Store(&open)
 		}
+		if len(r.beliefs) > 0 {
+			g.asks = 0
+		}
 	}
 	g.mu.Unlock()
 	if !news {
@@ -354,6 +403,10 @@
 	for _, e := range r.evidence {
 		g.spec.Evidence.Hear(now, e.target, e.outcome)
 	}
+	if r.asking {
+		g.answer(now, from)
+	}
+	g.spec.Evidence.Adopt(now, r.beliefs)
 	for _, m := range r.marks {
 		g.spec.Quarantine.Apply(m)
 	}
--- a/internal/gossiper/report.go
+++ b/internal/gossiper/report.go
@@ -80,6 +80,10 @@
 	marks    []quarantiner.Mark
 	// positions tell how far the topics of the store were read.
 	positions []Position
+	// asking is set while the VM asks for the beliefs of others, and beliefs are
+	// the answer.
+	asking  bool
+	beliefs []estimator.Belief
 }
 
 // ReportSpec lists the attributes of a report.
@@ -93,6 +97,8 @@
 	Marks    []quarantiner.Mark
 	// Positions tell how far the topics of the store were read.
 	Positions []Position
+	Asking    bool
+	Beliefs   []estimator.Belief
 }
 
 // NewReport returns a report.
@@ -106,6 +112,8 @@
 		evidence:  s.Evidence,
 		marks:     s.Marks,
 		positions: s.Positions,
+		asking:    s.Asking,
+		beliefs:   s.Beliefs,
 	}
 }
 
@@ -130,5 +138,11 @@
 // Positions returns how far the topics of the store were read.
 func (r *Report) Positions() []Position { return r.positions }
 
+// Asking reports whether the VM asks for the beliefs of others.
+func (r *Report) Asking() bool { return r.asking }
+
+// Beliefs returns the risks of targets as the VM sees them.
+func (r *Report) Beliefs() []estimator.Belief { return r.beliefs }
+
 // Marks returns what the VM tells about requests that end targets.
 func (r *Report) Marks() []quarantiner.Mark { return r.marks }
