--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
@@ -21,12 +22,14 @@
 	// farLoss is what a request to another data centre costs.
 	farLoss = 0.02
 	// restTime is the time after which a target that nobody used is due for a
-	// request, if its risk is at most restRisk; restPart is the part of the
-	// requests that it then gets, so that the fleet knows of most of the targets
-	// that work.
-	restTime = 800 * time.Millisecond
-	restRisk = 0.45
-	restPart = 0.06
+	// request, if its risk is at most restRisk or if it is among the restShare of
+	// the service's targets with the least risk. restPart is the part of the
+	// requests that it then gets. So the fleet uses most of the targets that
+	// work, and finds out when one works again.
+	restTime  = 800 * time.Millisecond
+	restRisk  = 0.6
+	restShare = 0.75
+	restPart  = 0.06
 	// spread is the difference in loss that makes one target e times as likely
 	// to be chosen as another.
 	spread = 0.08
@@ -47,7 +50,21 @@
 }
 
 // due reports whether the target should get a request because nobody used it.
-func (c candidate) due() bool { return c.rested && c.open == 0 && c.risk <= restRisk }
+// The bound is the risk up to which targets are to be used in any case.
+func (c candidate) due(bound float64) bool {
+	return c.rested && c.open == 0 && c.risk <= math.Max(restRisk, bound)
+}
+
+// restBound returns the risk up to which the restShare of the targets lie.
+func restBound(list []candidate) float64 {
+	risks := make([]float64, len(list))
+	for i, c := range list {
+		risks[i] = c.risk
+	}
+	slices.Sort(risks)
+
+	return risks[min(len(risks)-1, int(math.Ceil(restShare*float64(len(risks))))-1)]
+}
 
 // demand is what a request asks of its target.
 type demand struct {
@@ -91,6 +108,9 @@
 // choose returns the index of a target, the likelier the less is lost there and
 // the more room it has; -1 without targets.
 func choose(list []candidate, d demand) int {
+	if len(list) == 0 {
+		return -1
+	}
 	losses := make([]float64, len(list))
 	least := math.Inf(1)
 	for i, c := range list {
@@ -103,8 +123,9 @@
 		weights[i] = math.Exp((least-losses[i])/spread) * c.slots / (1 + c.open)
 		total += weights[i]
 	}
+	bound := restBound(list)
 	for i, c := range list {
-		if least := restPart * total; c.due() && weights[i] < least {
+		if least := restPart * total; c.due(bound) && weights[i] < least {
 			total += least - weights[i]
 			weights[i] = least
 		}
