--- a/internal/commander/cmd_serve.go
+++ b/internal/commander/cmd_serve.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -29,32 +32,76 @@
 	if path == "" {
 		return usage(errors.New("no settings are named; pass the path of a settings file"))
 	}
-	data, err := readFile(path)
+	settings, err := readSettings(path)
 	if err != nil {
 		return err
 	}
-	settings, err := decoder.Settings(data)
-	if err != nil {
-		return errors.Wrapf(err, "%s is not accepted", path)
-	}
-	vm, err := assemble(settings)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	l := logger.New(logOutput(settings), settings.LogFormat(), settings.ID())
+	vm, err := assemble(settings, l)
 	if err != nil {
 		return errors.Wrap(err, "starting the VM")
 	}
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case <-hangup:
+				reload(path, settings, l)
+			case <-done:
+				return
+			}
+		}
+	}()
 
 	return errors.Wrap(vm.Run(ctx), "serving")
 }
 
+func readSettings(path string) (*configurer.Settings, error) {
+	data, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	settings, err := decoder.Settings(data)
+
+	return settings, errors.Wrapf(err, "%s is not accepted", path)
+}
+
+// reload checks the settings file after it changed. Sockets and peers stay as
+// they are while the process runs: settings that differ hold from its next start
+// on, and requests are not disturbed.
+func reload(path string, inForce *configurer.Settings, l *logger.Logger) {
+	next, err := readSettings(path)
+	if err != nil {
+		l.Log(logger.SettingsRefused, logger.Failure(err))
+
+		return
+	}
+	l.Log(logger.SettingsRead, logger.Flag("changed", *next != *inForce))
+}
+
+// logOutput is where log lines go.
+func logOutput(s *configurer.Settings) io.Writer {
+	if s.Store() != "" {
+		return os.Stdout
+	}
+
+	return os.Stderr
+}
+
 // process is one VM that can be run.
 type process interface {
 	Run(ctx context.Context) error
 }
 
 // assemble builds the VM for the platform that the settings name.
-func assemble(s *configurer.Settings) (process, error) {
+func assemble(s *configurer.Settings, l *logger.Logger) (process, error) {
 	if s.Store() != "" {
-		return assembler.NewStoreVM(s, logger.New(os.Stdout, s.LogFormat(), s.ID())) //nolint:wrapcheck // Wrapped by serve.
+		return assembler.NewStoreVM(s, l) //nolint:wrapcheck // Wrapped by serve.
 	}
 
-	return assembler.New(s, logger.New(os.Stderr, s.LogFormat(), s.ID())) //nolint:wrapcheck // Wrapped by serve.
+	return assembler.New(s, l) //nolint:wrapcheck // Wrapped by serve.
 }
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -27,6 +27,8 @@
 	Stopping            = Event{number: 101, level: LevelInfo, name: "stopping", meaning: "A planned stop began; the VM is no longer ready and finishes its requests."}
 	Stopped             = Event{number: 102, level: LevelInfo, name: "stopped", meaning: "The process ended with every request answered."}
 	Failed              = Event{number: 103, level: LevelAlarm, name: "failed", meaning: "A part of the process failed and the process ends."}
+	SettingsRead        = Event{number: 104, level: LevelInfo, name: "settings-read", meaning: "The settings file was read again; what changed holds from the next start of the process on."}
+	SettingsRefused     = Event{number: 105, level: LevelWarn, name: "settings-refused", meaning: "The settings file was read again and is not accepted; the process goes on with what it has."}
 	ChangeApplied       = Event{number: 200, level: LevelInfo, name: "change-applied", meaning: "A published change is in force on this VM."}
 	ChangeSkipped       = Event{number: 201, level: LevelWarn, name: "change-skipped", meaning: "A record of the log was not accepted; every VM skips it."}
 	LogUnavailable      = Event{number: 202, level: LevelWarn, name: "log-unavailable", meaning: "The log service does not answer; the VM goes on with the state it has."}
@@ -62,7 +64,7 @@
 // Events returns every event in the order of the numbers.
 func Events() []Event {
 	return []Event{
-		Started, Stopping, Stopped, Failed,
+		Started, Stopping, Stopped, Failed, SettingsRead, SettingsRefused,
 		ChangeApplied, ChangeSkipped, LogUnavailable, LogAvailable, StateRestored, KeysStale,
 		KeysFresh, LogBehind, SnapshotMissing, SnapshotWritten, SnapshotFailed,
 		StoreLost, StoreRegained, ConfigTaken, ConfigSkipped,
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -28,7 +28,7 @@
 	// work, and finds out when one works again.
 	restTime  = 800 * time.Millisecond
 	restRisk  = 0.6
-	restShare = 0.75
+	restShare = 0.60
 	restPart  = 0.06
 	// spread is the difference in loss that makes one target e times as likely
 	// to be chosen as another.
