Share the reading of the store

Four VMs, by rank among those that are heard and reach the store, wait for changes and pass small ones on; the others read at random times and when a report shows that they are behind. Tried first and kept out: random rests without a rank (after a common wake-up nobody waited for 3.5 s, CONFIG), three waiters without a second look (DRAIN by 16 ms when they were cut off together).

--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -35,15 +35,6 @@
 	"github.com/lagoonkeel/lagoonkeel/platform/adapter"
 )
 
-const (
-	// targetsGap is the least time between two reads of the list of targets. A
-	// leaving target must get no request two seconds after its word.
-	targetsGap = time.Second
-	// peersGap is the least time between two reads of the list of VMs; VMs
-	// also learn of each other by their reports.
-	peersGap = 20 * time.Second
-)
-
 // StoreVM is one assembled process of a fleet that runs on the platform's store
 // alone.
 type StoreVM struct {
@@ -143,18 +134,23 @@
 		Teller:     v.gossiper,
 		Fleet:      v.gossiper,
 		Clock:      v.timers,
+		Patient:    v.stopping,
 	})
 }
 
+// stopping reports whether a planned stop began.
+func (v *StoreVM) stopping() bool { return v.stopper != nil && v.stopper.Stopping() }
+
 func (v *StoreVM) addControllers(operators *operators) {
-	configurations := subscriber.New("configurations", v.store.Topic(adapter.ConfigTopic), v.adopter, 0, v.gossiper, v.timers, v.logger)
-	targets := subscriber.New("targets", v.store.Topic(adapter.TargetsTopic), v.registrar, targetsGap, v.gossiper, v.timers, v.logger)
-	v.gossiper.Follow(configurations, targets)
+	configurations := subscriber.New("configurations", v.store.Topic(adapter.ConfigTopic), v.adopter, v.gossiper, v.timers, v.logger)
+	targets := subscriber.New("targets", v.store.Topic(adapter.TargetsTopic), v.registrar, v.gossiper, v.timers, v.logger)
+	vms := subscriber.New("vms", v.store.Topic(adapter.PeersTopic), v.gossiper, v.gossiper, v.timers, v.logger)
+	v.gossiper.Follow(configurations, targets, vms)
 	v.controllers = []supervisor.Controller{
 		v.timers,
 		configurations,
 		targets,
-		subscriber.New("vms", v.store.Topic(adapter.PeersTopic), v.gossiper, peersGap, v.gossiper, v.timers, v.logger),
+		vms,
 		&announcer{
 			topic:   v.store.Topic(adapter.PeersTopic),
 			address: v.settings.Peers(),
--- a/internal/decoder/report.go
+++ b/internal/decoder/report.go
@@ -9,6 +9,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
 	"github.com/lagoonkeel/lagoonkeel/internal/gossiper"
 	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
+	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 )
 
@@ -124,11 +125,16 @@
 		}
 	})
 	c.each(func() { spec.Marks = append(spec.Marks, readMark(c)) })
-	c.each(func() { spec.Positions = append(spec.Positions, gossiper.NewPosition(c.number(), c.number())) })
+	c.each(func() {
+		spec.Positions = append(spec.Positions, gossiper.NewPosition(c.number(), c.number(), c.octet() != 0))
+	})
 	c.each(func() {
 		spec.Beliefs = append(spec.Beliefs, estimator.NewBelief(estimator.Key(c.word()),
 			float64(c.octet())/encoder.RiskScale, time.Duration(c.number())*time.Millisecond))
 	})
+	if flags&encoder.ReportRelay != 0 {
+		spec.Relay = readRelay(c)
+	}
 	if c.failed || len(c.rest) > 0 {
 		return nil, &ReportError{
 			reason: "it is cut or too long",
@@ -138,6 +144,21 @@
 	return gossiper.NewReport(spec), nil
 }
 
+func readRelay(c *cursor) *gossiper.Relay {
+	topic, from, to := c.number(), subscriber.Offset(c.number()), subscriber.Offset(c.number())
+	var records []subscriber.Record
+	c.each(func() {
+		offset, removed := subscriber.Offset(c.number()), c.octet() != 0
+		key, value := c.text(), []byte(c.text())
+		if removed {
+			value = nil
+		}
+		records = append(records, subscriber.NewRecord(key, value, offset))
+	})
+
+	return gossiper.NewRelay(topic, from, to, records)
+}
+
 func readMark(c *cursor) quarantiner.Mark {
 	f := quarantiner.Fingerprint(c.text())
 	if target := c.text(); target != "" {
--- a/internal/encoder/report.go
+++ b/internal/encoder/report.go
@@ -13,6 +13,7 @@
 const (
 	ReportLeaving = 1
 	ReportAsking  = 2
+	ReportRelay   = 4
 )
 
 // RiskScale is the number that stands for a risk of 1.
@@ -24,7 +25,7 @@
 	b := []byte{ReportFormat}
 	b = binary.AppendUvarint(b, uint64(r.Start()))
 	b = binary.AppendUvarint(b, uint64(r.Sequence()))
-	b = append(b, flag(r.Leaving(), ReportLeaving)|flag(r.Asking(), ReportAsking))
+	b = append(b, flag(r.Leaving(), ReportLeaving)|flag(r.Asking(), ReportAsking)|flag(r.Relay() != nil, ReportRelay))
 	b = binary.AppendUvarint(b, uint64(len(r.Counts())))
 	for _, c := range r.Counts() {
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Account()))
@@ -51,6 +52,7 @@
 	for _, p := range r.Positions() {
 		b = binary.AppendUvarint(b, uint64(p.Topic()))
 		b = binary.AppendUvarint(b, uint64(p.Next()))
+		b = append(b, flag(p.Lost(), 1))
 	}
 
 	b = binary.AppendUvarint(b, uint64(len(r.Beliefs())))
@@ -60,6 +62,25 @@
 		b = binary.AppendUvarint(b, uint64(max(0, l.Age().Milliseconds()))) //nolint:gosec // Not below 0.
 	}
 
+	if r.Relay() != nil {
+		b = appendRelay(b, r.Relay())
+	}
+
+	return b
+}
+
+func appendRelay(b []byte, r *gossiper.Relay) []byte {
+	b = binary.AppendUvarint(b, uint64(r.Topic()))
+	b = binary.AppendUvarint(b, uint64(r.From())) //nolint:gosec // Offsets are not below 0.
+	b = binary.AppendUvarint(b, uint64(r.To()))   //nolint:gosec // Offsets are not below 0.
+	b = binary.AppendUvarint(b, uint64(len(r.Records())))
+	for _, x := range r.Records() {
+		b = binary.AppendUvarint(b, uint64(x.Offset())) //nolint:gosec // Offsets are not below 0.
+		b = append(b, flag(x.Removed(), 1))
+		b = appendText(b, x.Key())
+		b = appendText(b, string(x.Value()))
+	}
+
 	return b
 }
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
+	"github.com/lagoonkeel/lagoonkeel/internal/hasher"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
 	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
@@ -38,6 +39,8 @@
 	// one packet.
 	maxEvidence = 200
 	maxBeliefs  = 160
+	// maxRelay bounds, in bytes, the records that are passed on in one report.
+	maxRelay = 1200
 	// askTurns is the number of periods in which a new VM asks others for what
 	// they believe, and askedVMs the number of VMs that it asks each time.
 	askTurns = 8
@@ -74,10 +77,16 @@
 
 // reader reads a topic of the store.
 type reader interface {
-	// Position returns the offset up to which the topic has been read.
+	// Position returns the offset up to which the topic has been read, and Lost
+	// whether the store does not answer.
 	Position() subscriber.Offset
+	Lost() bool
+	// Topic returns the name of the topic.
+	Topic() string
 	// Pass notes that another VM has read up to the offset.
 	Pass(to subscriber.Offset)
+	// Take takes in records that another VM has read.
+	Take(from, to subscriber.Offset, records []subscriber.Record)
 }
 
 // Spec lists what a gossiper is joined with.
@@ -119,11 +128,57 @@
 // every VM. It must be called before Run.
 func (g *Gossiper) Follow(readers ...reader) { g.readers = readers }
 
+// Rank returns how many of the VMs that are heard and reach the store come
+// before this one in waiting for changes of the topic.
+func (g *Gossiper) Rank(topic string) int {
+	i := g.index(topic)
+	now := g.spec.Clock.Now()
+	own := hasher.Sum(topic, g.spec.Self)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, p := range g.roster.peers {
+		if p.audible(now) && !p.left && !p.lost[uint32(i)] && hasher.Sum(topic, p.address) < own { //nolint:gosec // A few topics.
+			n++
+		}
+	}
+
+	return n
+}
+
+// index returns the number of the topic, or -1.
+func (g *Gossiper) index(topic string) int {
+	return slices.IndexFunc(g.readers, func(r reader) bool { return r.Topic() == topic })
+}
+
+// Forward passes records of a topic on, if they fit one packet. Where they do
+// not, the others hear how far this VM has read, and read by themselves.
+func (g *Gossiper) Forward(topic string, from, to subscriber.Offset, records []subscriber.Record) {
+	i := g.index(topic)
+	if i < 0 {
+		return
+	}
+	positions := g.positions()
+	size := 0
+	for _, x := range records {
+		size += len(x.Key()) + len(x.Value())
+	}
+	g.mu.Lock()
+	r := g.brief()
+	r.positions = positions
+	if size <= maxRelay {
+		r.relay = NewRelay(uint32(i), from, to, records) //nolint:gosec // A few topics.
+	}
+	near := g.near(g.spec.Clock.Now())
+	g.mu.Unlock()
+	g.send(r, near)
+}
+
 // positions returns how far this VM has read.
 func (g *Gossiper) positions() []Position {
 	list := make([]Position, len(g.readers))
 	for i, r := range g.readers {
-		list[i] = NewPosition(uint32(i), uint32(r.Position())) //nolint:gosec // Topics hold far fewer records in a day.
+		list[i] = NewPosition(uint32(i), uint32(r.Position()), r.Lost()) //nolint:gosec // Topics hold far fewer records in a day.
 	}
 
 	return list
@@ -392,6 +447,9 @@
 		if len(r.beliefs) > 0 {
 			g.asks = 0
 		}
+		for _, q := range r.positions {
+			p.lost[q.topic] = q.lost
+		}
 	}
 	g.mu.Unlock()
 	if !news {
@@ -410,6 +468,9 @@
 	for _, m := range r.marks {
 		g.spec.Quarantine.Apply(m)
 	}
+	if q := r.relay; q != nil && int(q.topic) < len(g.readers) {
+		g.readers[q.topic].Take(q.from, q.to, q.records)
+	}
 	for _, q := range r.positions {
 		if int(q.topic) < len(g.readers) {
 			g.readers[q.topic].Pass(subscriber.Offset(q.next))
--- a/internal/gossiper/report.go
+++ b/internal/gossiper/report.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
 	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
+	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 )
 
@@ -50,22 +51,57 @@
 type Position struct {
 	topic uint32
 	next  uint32
+	// lost is set while the store does not answer the VM.
+	lost bool
 }
 
 // NewPosition returns a position; the topic is given by its number.
-func NewPosition(topic, next uint32) Position {
+func NewPosition(topic, next uint32, lost bool) Position {
 	return Position{
 		topic: topic,
 		next:  next,
+		lost:  lost,
 	}
 }
 
+// Lost reports whether the store does not answer the VM.
+func (p Position) Lost() bool { return p.lost }
+
 // Topic returns the number of the topic.
 func (p Position) Topic() uint32 { return p.topic }
 
 // Next returns the offset up to which the topic was read.
 func (p Position) Next() uint32 { return p.next }
 
+// Relay is a part of a topic of the store that one VM has read.
+type Relay struct {
+	topic    uint32
+	from, to subscriber.Offset
+	records  []subscriber.Record
+}
+
+// NewRelay returns a relay; the topic is given by its number.
+func NewRelay(topic uint32, from, to subscriber.Offset, records []subscriber.Record) *Relay {
+	return &Relay{
+		topic:   topic,
+		from:    from,
+		to:      to,
+		records: records,
+	}
+}
+
+// Topic returns the number of the topic.
+func (r *Relay) Topic() uint32 { return r.topic }
+
+// From returns the offset from which the records follow each other.
+func (r *Relay) From() subscriber.Offset { return r.from }
+
+// To returns the offset after the records.
+func (r *Relay) To() subscriber.Offset { return r.to }
+
+// Records returns the records.
+func (r *Relay) Records() []subscriber.Record { return r.records }
+
 // Report is what one VM tells the others.
 type Report struct {
 	// start tells the starts of a VM apart.
@@ -84,6 +120,8 @@
 	// the answer.
 	asking  bool
 	beliefs []estimator.Belief
+	// relay is a part of a topic; nil without one.
+	relay *Relay
 }
 
 // ReportSpec lists the attributes of a report.
@@ -99,6 +137,7 @@
 	Positions []Position
 	Asking    bool
 	Beliefs   []estimator.Belief
+	Relay     *Relay
 }
 
 // NewReport returns a report.
@@ -114,6 +153,7 @@
 		positions: s.Positions,
 		asking:    s.Asking,
 		beliefs:   s.Beliefs,
+		relay:     s.Relay,
 	}
 }
 
@@ -144,5 +184,8 @@
 // Beliefs returns the risks of targets as the VM sees them.
 func (r *Report) Beliefs() []estimator.Belief { return r.beliefs }
 
+// Relay returns the part of a topic that comes with the report, or nil.
+func (r *Report) Relay() *Relay { return r.relay }
+
 // Marks returns what the VM tells about requests that end targets.
 func (r *Report) Marks() []quarantiner.Mark { return r.marks }
--- a/internal/gossiper/roster.go
+++ b/internal/gossiper/roster.go
@@ -29,6 +29,8 @@
 	counts map[tallier.Account]tallier.Count
 	loads  []Load
 	left   bool
+	// lost holds the topics, by number, of which the store does not answer it.
+	lost map[uint32]bool
 }
 
 // roster holds the other VMs. It belongs to the gossiper's lock.
@@ -50,6 +52,7 @@
 			address: address,
 			added:   now,
 			counts:  map[tallier.Account]tallier.Count{},
+			lost:    map[uint32]bool{},
 		}
 		r.peers[address] = p
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -67,6 +67,8 @@
 	Teller     teller
 	Fleet      fleet
 	Clock      clock
+	// Patient reports whether overdue attempts must not be given up.
+	Patient func() bool
 }
 
 // Attempt is one open attempt at a target.
@@ -255,7 +257,7 @@
 			a.told = true
 			silent = append(silent, a.member.Key())
 		}
-		if a.abandon != nil {
+		if a.abandon != nil && !p.spec.Patient() {
 			overdue = append(overdue, a)
 		}
 	}
--- /dev/null
+++ b/internal/subscriber/duty.go
@@ -0,0 +1,64 @@
+package subscriber
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// leastWait and mostWait bound how long one call waits for a change. They
+	// are short because a call that waits may miss a change for ever: the store
+	// may drop it or lose the answer. They differ so that the calls of several
+	// VMs end at different moments.
+	leastWait = 1500 * time.Millisecond
+	mostWait  = 3500 * time.Millisecond
+	// waiters is the number of VMs that wait for changes at any time: more than
+	// one, so that changes are seen though some die or are cut off.
+	waiters = 4
+	// mostRest bounds the time between two calls of a VM that does not wait for
+	// changes because others do.
+	mostRest = 20 * time.Second
+	// rankPeriod is the time between two looks at who waits for changes.
+	rankPeriod = 400 * time.Millisecond
+	// firstPause and longestPause bound the pause after a failed call of a VM
+	// that hears no other; it doubles from one failure to the next. A VM that
+	// hears others learns of changes from them and may wait up to sharedPause.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 300 * time.Millisecond
+	sharedPause  = 1500 * time.Millisecond
+)
+
+// duty decides when one VM calls the store, so that all calls together are few
+// and follow each other closely.
+type duty struct {
+	// pause follows the next failed call.
+	pause time.Duration
+}
+
+// wait returns how long the next call waits for a change.
+func (d *duty) wait() time.Duration {
+	return leastWait + rand.N(mostWait-leastWait) //nolint:gosec // Spreads calls; nothing secret hangs on it.
+}
+
+// rest returns the time between two calls of a VM before which so many others
+// are to wait for changes.
+func (d *duty) rest(rank int) time.Duration {
+	d.pause = firstPause
+	if rank < waiters {
+		return 0
+	}
+
+	return rand.N(mostRest) //nolint:gosec // Spreads calls; nothing secret hangs on it.
+}
+
+// failed returns the time between a failed call and the next.
+func (d *duty) failed(rank int) time.Duration {
+	longest := longestPause
+	if rank >= waiters {
+		longest = sharedPause
+	}
+	pause := max(d.pause, firstPause)
+	d.pause = min(2*pause, longest)
+
+	return min(pause, longest)
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -1,11 +1,12 @@
 // Package subscriber keeps a view of a keyed topic of the platform's store: the
-// newest record of each key first, then every change. It knows no encoding.
+// newest record of each key first, then every change. The VMs of a fleet share
+// the reading: a few wait for changes at any time and pass them on to the
+// others. It knows no encoding.
 package subscriber
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,72 +15,6 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
-const (
-	// firstPause and longestPause bound the pause after a failed call; it
-	// doubles from one failure to the next.
-	firstPause   = 100 * time.Millisecond
-	longestPause = 300 * time.Millisecond
-	// fleetPause is the time after which, on average, some VM of the fleet asks
-	// the store anew: a call that waits may miss a change for ever. VMs tell each
-	// other how far they have read.
-	fleetPause = 400 * time.Millisecond
-	// leastWait and mostWait bound the time that one call waits.
-	leastWait = 500 * time.Millisecond
-	mostWait  = 25 * time.Second
-)
-
-// Offset numbers the records of a topic.
-type Offset int64
-
-// Record is one record of a topic.
-type Record struct {
-	key string
-	// value is nil where the key was removed.
-	value  []byte
-	offset Offset
-}
-
-// NewRecord returns a record; a nil value removes the key.
-func NewRecord(key string, value []byte, offset Offset) Record {
-	return Record{
-		key:    key,
-		value:  value,
-		offset: offset,
-	}
-}
-
-// Key returns the key.
-func (r Record) Key() string { return r.key }
-
-// Value returns the value, or nil where the key was removed.
-func (r Record) Value() []byte { return r.value }
-
-// Removed reports whether the record removes its key.
-func (r Record) Removed() bool { return r.value == nil }
-
-// Offset returns the offset.
-func (r Record) Offset() Offset { return r.offset }
-
-// ExpiredError reports that the records asked for are no longer kept.
-type ExpiredError struct {
-	first Offset
-}
-
-// NewExpiredError returns the error; first is the oldest record that is kept.
-func NewExpiredError(first Offset) *ExpiredError {
-	return &ExpiredError{
-		first: first,
-	}
-}
-
-// Error implements error.
-func (e *ExpiredError) Error() string {
-	return "the records have expired; read the newest record of each key"
-}
-
-// First returns the oldest offset that is kept.
-func (e *ExpiredError) First() Offset { return e.first }
-
 // topic is a keyed topic of the store.
 type topic interface {
 	// Newest returns the newest record of each key, and the offset from which
@@ -103,10 +38,14 @@
 	Lost(now timer.Instant)
 }
 
-// crowd knows how many VMs ask the store.
+// crowd is the other VMs.
 type crowd interface {
-	// Census returns how many VMs, this one included, are heard and known.
-	Census() (heard, known int)
+	// Rank returns how many other VMs come before this one in waiting for
+	// changes of the topic. VMs that are not heard, or that do not reach the
+	// store, are not counted.
+	Rank(topic string) int
+	// Forward passes the records of the topic from one offset to another on.
+	Forward(topic string, from, to Offset, records []Record)
 }
 
 type clock interface {
@@ -116,150 +55,207 @@
 
 // Subscriber is the controller that follows one topic.
 type Subscriber struct {
-	name  string
-	topic topic
-	view  view
-	clock clock
-	// gap is the least time between two calls that found records: a view that
-	// may be as old as that needs no call for each record.
-	gap    time.Duration
+	name   string
+	topic  topic
+	view   view
+	clock  clock
 	crowd  crowd
+	duty   *duty
 	logger *logger.Logger
+	// passed wakes Run after another VM was found to have read further.
+	passed chan struct{}
+	// mu guards what follows, and the order in which the view takes records.
+	mu sync.Mutex
 	// next is the offset to read from, or unknown.
-	next atomic.Int64
+	next Offset
 	// ahead is the greatest offset that another VM has read to.
-	ahead atomic.Int64
-	// passed wakes a waiting call after another VM was found ahead.
-	passed chan struct{}
+	ahead Offset
 	// lost is set while the store does not answer.
-	lost  bool
-	pause time.Duration
+	lost bool
 }
 
 // unknown is the offset of a subscriber that must read the newest records.
-const unknown = -1
+const unknown Offset = -1
 
 // New returns a subscriber of the topic.
-func New(name string, t topic, v view, gap time.Duration, w crowd, c clock, l *logger.Logger) *Subscriber {
-	s := &Subscriber{
+func New(name string, t topic, v view, w crowd, c clock, l *logger.Logger) *Subscriber {
+	return &Subscriber{
 		name:   name,
 		topic:  t,
 		view:   v,
 		clock:  c,
-		gap:    gap,
 		crowd:  w,
+		duty:   &duty{},
 		logger: l,
 		passed: make(chan struct{}, 1),
-		pause:  firstPause,
+		next:   unknown,
 	}
-	s.next.Store(unknown)
-
-	return s
 }
 
+// Topic returns the name of the topic.
+func (s *Subscriber) Topic() string { return s.name }
+
+// Name returns the controller's name.
+func (s *Subscriber) Name() string { return "subscriber-" + s.name }
+
 // Position returns the offset up to which the topic has been read.
-func (s *Subscriber) Position() Offset { return Offset(max(0, s.next.Load())) }
+func (s *Subscriber) Position() Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return max(0, s.next)
+}
+
+// Lost reports whether the store does not answer this VM.
+func (s *Subscriber) Lost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 
-// Pass notes that another VM has read up to the offset. A call that waits is
-// made anew where this VM is behind.
+	return s.lost
+}
+
+// Pass notes that another VM has read up to the offset. This VM reads at once
+// where it is behind.
 func (s *Subscriber) Pass(to Offset) {
-	if int64(to) <= s.ahead.Load() || int64(to) <= s.next.Load() {
-		return
+	s.mu.Lock()
+	news := to > s.ahead && to > s.next && s.next != unknown
+	if news {
+		s.ahead = to
 	}
-	s.ahead.Store(int64(to))
+	s.mu.Unlock()
+	if news {
+		s.wake()
+	}
+}
+
+// Take takes in records that another VM read, if they follow what this VM has.
+func (s *Subscriber) Take(from, to Offset, records []Record) {
+	s.mu.Lock()
+	fits := s.next != unknown && from <= s.next
+	if fits && to > s.next {
+		s.apply(to, records)
+	}
+	s.mu.Unlock()
+	if !fits {
+		s.Pass(to)
+	}
+}
+
+func (s *Subscriber) wake() {
 	select {
 	case s.passed <- struct{}{}:
 	default:
 	}
 }
 
-// Name returns the controller's name.
-func (s *Subscriber) Name() string { return "subscriber-" + s.name }
+// apply passes the records that are news to the view; the lock must be held.
+func (s *Subscriber) apply(to Offset, records []Record) {
+	for len(records) > 0 && records[0].offset < s.next {
+		records = records[1:]
+	}
+	s.next = max(s.next, to)
+	s.view.Update(s.clock.Now(), records)
+}
 
 // Run follows the topic until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		found, err := s.step(ctx)
-		switch {
-		case ctx.Err() != nil:
-		case err != nil:
+		err := s.step(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		rank := s.crowd.Rank(s.name)
+		if err != nil {
 			s.failed(err)
-			s.wait(ctx, s.pause)
-			s.pause = min(2*s.pause, longestPause)
-		default:
-			s.succeeded()
-			if found {
-				s.wait(ctx, s.gap)
-			}
+			s.rest(ctx, s.duty.failed(rank))
+
+			continue
+		}
+		s.succeeded()
+		if !s.behind() {
+			s.stand(ctx, s.duty.rest(rank))
 		}
 	}
 
 	return nil
 }
 
-// step makes one call and reports whether it found records.
-func (s *Subscriber) step(ctx context.Context) (bool, error) {
-	if s.next.Load() == unknown {
-		return false, s.load(ctx)
+// behind reports whether there is something to read at once.
+func (s *Subscriber) behind() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.next == unknown || s.ahead > s.next
+}
+
+// step makes one call.
+func (s *Subscriber) step(ctx context.Context) error {
+	s.mu.Lock()
+	from := s.next
+	wait := s.duty.wait()
+	if s.ahead > s.next {
+		wait = 0
+		s.ahead = s.next // One call is enough if the other VM was wrong.
 	}
-	records, next, err := s.poll(ctx)
+	s.mu.Unlock()
+	if from == unknown {
+		return s.load(ctx)
+	}
+	records, to, err := s.poll(ctx, from, wait)
 	var expired *ExpiredError
-	if errors.As(err, &expired) {
-		s.next.Store(unknown)
+	switch {
+	case errors.As(err, &expired):
+		s.reset()
 
-		return false, nil
+		return nil
+	case errors.Is(err, errPassed):
+		return nil
+	case err != nil:
+		return err
 	}
-	if errors.Is(err, errPassed) {
-		return false, nil
+	s.mu.Lock()
+	news := to > s.next
+	s.view.Reached(s.clock.Now())
+	if news {
+		s.apply(to, records)
 	}
-	if err != nil {
-		return false, err
+	s.mu.Unlock()
+	if news {
+		s.crowd.Forward(s.name, from, to, records)
 	}
-	now := s.clock.Now()
-	s.view.Reached(now)
-	s.view.Update(now, records)
-	s.next.Store(int64(next))
 
-	return len(records) > 0, nil
+	return nil
+}
+
+// reset makes the next step read the newest records.
+func (s *Subscriber) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next = unknown
 }
 
 // errPassed ends a call that waits while another VM has read further.
 var errPassed = errors.New("another VM has read further")
 
 // poll asks for changes, and waits for one unless another VM is ahead.
-func (s *Subscriber) poll(ctx context.Context) ([]Record, Offset, error) {
-	wait := s.patience()
-	if s.ahead.Load() > s.next.Load() {
-		wait = 0
-		s.ahead.Store(s.next.Load()) // One call is enough if the other VM was wrong.
-	}
+func (s *Subscriber) poll(ctx context.Context, from Offset, wait time.Duration) ([]Record, Offset, error) {
 	asking, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go func() {
-		select {
-		case <-s.passed:
-			if wait > 0 && s.ahead.Load() > s.next.Load() {
+	if wait > 0 {
+		go func() {
+			select {
+			case <-s.passed:
 				cancel(errPassed)
+			case <-asking.Done():
 			}
-		case <-asking.Done():
-		}
-	}()
-	records, next, err := s.topic.Changes(asking, Offset(s.next.Load()), wait)
+		}()
+	}
+	records, to, err := s.topic.Changes(asking, from, wait)
 	if err != nil && errors.Is(context.Cause(asking), errPassed) {
 		return nil, 0, errPassed
 	}
 
-	return records, next, err
-}
-
-// patience is the time that one call waits, so that the calls of the fleet
-// follow each other closely.
-func (s *Subscriber) patience() time.Duration {
-	heard, _ := s.crowd.Census()
-	mean := time.Duration(heard) * fleetPause
-	wait := mean/2 + rand.N(mean) //nolint:gosec // Spreads calls; nothing secret hangs on it.
-
-	return min(max(wait, leastWait), mostWait)
+	return records, to, err
 }
 
 // load reads the newest record of each key. Where one of them cannot be used,
@@ -270,27 +266,32 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
 	now := s.clock.Now()
 	s.view.Reached(now)
-	s.next.Store(int64(next))
-	if s.view.Replace(now, records) {
+	s.next = next
+	usable := s.view.Replace(now, records)
+	s.mu.Unlock()
+	if usable {
 		return nil
 	}
-	older, err := s.kept(ctx)
+	older, err := s.kept(ctx, next)
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.view.Update(s.clock.Now(), older)
 
 	return nil
 }
 
-// kept returns the records that the store still keeps.
-func (s *Subscriber) kept(ctx context.Context) ([]Record, error) {
+// kept returns the records before the offset that the store still keeps.
+func (s *Subscriber) kept(ctx context.Context, before Offset) ([]Record, error) {
 	records, _, err := s.topic.Changes(ctx, 0, 0)
 	var expired *ExpiredError
 	if errors.As(err, &expired) {
-		if int64(expired.first) >= s.next.Load() {
+		if expired.first >= before {
 			return nil, nil
 		}
 		records, _, err = s.topic.Changes(ctx, expired.first, 0)
@@ -300,22 +301,37 @@
 }
 
 func (s *Subscriber) failed(err error) {
+	s.mu.Lock()
 	s.view.Lost(s.clock.Now())
-	if !s.lost {
+	first := !s.lost
+	s.lost = true
+	s.mu.Unlock()
+	if first {
 		s.logger.Log(logger.StoreLost, logger.Text("topic", s.name), logger.Failure(err))
 	}
-	s.lost = true
 }
 
 func (s *Subscriber) succeeded() {
-	if s.lost {
-		s.logger.Log(logger.StoreRegained, logger.Text("topic", s.name), logger.Int("offset", s.next.Load()))
-	}
+	s.mu.Lock()
+	regained := s.lost
 	s.lost = false
-	s.pause = firstPause
+	next := s.next
+	s.mu.Unlock()
+	if regained {
+		s.logger.Log(logger.StoreRegained, logger.Text("topic", s.name), logger.Int("offset", int64(next)))
+	}
+}
+
+// stand waits while enough other VMs wait for changes, at most for the time.
+func (s *Subscriber) stand(ctx context.Context, d time.Duration) {
+	for d > 0 && ctx.Err() == nil && !s.behind() && s.crowd.Rank(s.name) >= waiters {
+		s.rest(ctx, min(d, rankPeriod))
+		d -= rankPeriod
+	}
 }
 
-func (s *Subscriber) wait(ctx context.Context, d time.Duration) {
+// rest waits until the VM has to call again.
+func (s *Subscriber) rest(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
@@ -323,6 +339,7 @@
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
+	case <-s.passed:
 	case <-t.Due():
 	}
 }
