--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -144,7 +144,7 @@
 func (v *StoreVM) addControllers(operators *operators) {
 	configurations := subscriber.New("configurations", v.store.Topic(adapter.ConfigTopic), v.adopter, v.gossiper, v.timers, v.logger)
 	targets := subscriber.New("targets", v.store.Topic(adapter.TargetsTopic), v.registrar, v.gossiper, v.timers, v.logger)
-	vms := subscriber.New("vms", v.store.Topic(adapter.PeersTopic), v.gossiper, v.gossiper, v.timers, v.logger)
+	vms := subscriber.New("vms", v.store.Topic(adapter.PeersTopic), v.gossiper, v.gossiper, v.timers, v.logger).Idle()
 	v.gossiper.Follow(configurations, targets, vms)
 	v.controllers = []supervisor.Controller{
 		v.timers,
--- a/internal/subscriber/duty.go
+++ b/internal/subscriber/duty.go
@@ -10,14 +10,19 @@
 	// are short because a call that waits may miss a change for ever: the store
 	// may drop it or lose the answer. They differ so that the calls of several
 	// VMs end at different moments.
-	leastWait = 1500 * time.Millisecond
-	mostWait  = 3500 * time.Millisecond
+	leastWait = 2500 * time.Millisecond
+	mostWait  = 6 * time.Second
 	// waiters is the number of VMs that wait for changes at any time: more than
 	// one, so that changes are seen though some die or are cut off.
 	waiters = 4
 	// mostRest bounds the time between two calls of a VM that does not wait for
 	// changes because others do.
 	mostRest = 20 * time.Second
+	// changeGap follows a call that found changes, so that those which come
+	// together are read together.
+	changeGap = 250 * time.Millisecond
+	// leastIdleRest is added to the rest of a topic that is not urgent.
+	leastIdleRest = 10 * time.Second
 	// rankPeriod is the time between two looks at who waits for changes.
 	rankPeriod = 400 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed call of a VM
@@ -31,30 +36,45 @@
 // duty decides when one VM calls the store, so that all calls together are few
 // and follow each other closely.
 type duty struct {
+	// idle is set for a topic that is not urgent: no VM waits for its changes.
+	idle bool
 	// pause follows the next failed call.
 	pause time.Duration
 }
 
 // wait returns how long the next call waits for a change.
 func (d *duty) wait() time.Duration {
+	if d.idle {
+		return 0
+	}
+
 	return leastWait + rand.N(mostWait-leastWait) //nolint:gosec // Spreads calls; nothing secret hangs on it.
 }
 
 // rest returns the time between two calls of a VM before which so many others
-// are to wait for changes.
-func (d *duty) rest(rank int) time.Duration {
+// are to wait for changes; found tells whether the last call found some.
+func (d *duty) rest(rank int, found bool) time.Duration {
 	d.pause = firstPause
-	if rank < waiters {
+	switch {
+	case d.idle:
+		return leastIdleRest + rand.N(mostRest) //nolint:gosec // Spreads calls; nothing secret hangs on it.
+	case rank < waiters && found:
+		return changeGap
+	case rank < waiters:
 		return 0
 	}
 
 	return rand.N(mostRest) //nolint:gosec // Spreads calls; nothing secret hangs on it.
 }
 
+// waits reports whether a VM before which so many others come is to wait for
+// changes.
+func (d *duty) waits(rank int) bool { return !d.idle && rank < waiters }
+
 // failed returns the time between a failed call and the next.
 func (d *duty) failed(rank int) time.Duration {
 	longest := longestPause
-	if rank >= waiters {
+	if !d.waits(rank) {
 		longest = sharedPause
 	}
 	pause := max(d.pause, firstPause)
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// Idle makes the topic one that is not urgent; it must be called before Run.
+func (s *Subscriber) Idle() *Subscriber {
+	s.duty.idle = true
+
+	return s
+}
+
 // Topic returns the name of the topic.
 func (s *Subscriber) Topic() string { return s.name }
 
@@ -160,7 +167,7 @@
 // Run follows the topic until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := s.step(ctx)
+		found, err := s.step(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -173,7 +180,7 @@
 		}
 		s.succeeded()
 		if !s.behind() {
-			s.stand(ctx, s.duty.rest(rank))
+			s.stand(ctx, s.duty.rest(rank, found), s.duty.waits(rank))
 		}
 	}
 
@@ -188,8 +195,8 @@
 	return s.next == unknown || s.ahead > s.next
 }
 
-// step makes one call.
-func (s *Subscriber) step(ctx context.Context) error {
+// step makes one call and reports whether it found changes.
+func (s *Subscriber) step(ctx context.Context) (bool, error) {
 	s.mu.Lock()
 	from := s.next
 	wait := s.duty.wait()
@@ -199,7 +206,7 @@
 	}
 	s.mu.Unlock()
 	if from == unknown {
-		return s.load(ctx)
+		return false, s.load(ctx)
 	}
 	records, to, err := s.poll(ctx, from, wait)
 	var expired *ExpiredError
@@ -207,11 +214,11 @@
 	case errors.As(err, &expired):
 		s.reset()
 
-		return nil
+		return false, nil
 	case errors.Is(err, errPassed):
-		return nil
+		return false, nil
 	case err != nil:
-		return err
+		return false, err
 	}
 	s.mu.Lock()
 	news := to > s.next
@@ -224,7 +231,7 @@
 		s.crowd.Forward(s.name, from, to, records)
 	}
 
-	return nil
+	return news, nil
 }
 
 // reset makes the next step read the newest records.
@@ -322,9 +329,10 @@
 	}
 }
 
-// stand waits while enough other VMs wait for changes, at most for the time.
-func (s *Subscriber) stand(ctx context.Context, d time.Duration) {
-	for d > 0 && ctx.Err() == nil && !s.behind() && s.crowd.Rank(s.name) >= waiters {
+// stand waits for the time, but no longer than it takes until this VM is to wait
+// for changes where others did.
+func (s *Subscriber) stand(ctx context.Context, d time.Duration, waits bool) {
+	for d > 0 && ctx.Err() == nil && !s.behind() && s.duty.waits(s.crowd.Rank(s.name)) == waits {
 		s.rest(ctx, min(d, rankPeriod))
 		d -= rankPeriod
 	}
