Log each decision about a request and each change of belief

One line for each request that failed, was refused, repeated or left by its caller, and for one plain success in sixteen; one for targets that become suspect or trusted and for VMs heard and lost. Lines wait in a bounded queue: a full standard output delays no request. Counters are served as text on the metrics address.

--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/adopter"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
@@ -38,8 +40,10 @@
 // StoreVM is one assembled process of a fleet that runs on the platform's store
 // alone.
 type StoreVM struct {
-	settings  *configurer.Settings
-	logger    *logger.Logger
+	settings *configurer.Settings
+	logger   *logger.Logger
+	// lines are the log lines that wait for the output.
+	lines     *logger.Queue
 	timers    *timer.Service
 	meter     *meter.Meter
 	tracer    *tracer.Tracer
@@ -65,8 +69,11 @@
 func SettingsPath() string { return os.Getenv(adapter.SettingsVariable) }
 
 // NewStoreVM opens the sockets and builds the process.
-func NewStoreVM(s *configurer.Settings, l *logger.Logger) (*StoreVM, error) {
+func NewStoreVM(s *configurer.Settings, out io.Writer) (*StoreVM, error) {
+	lines := logger.NewQueue(out)
+	l := logger.New(lines, s.LogFormat(), s.ID())
 	v := &StoreVM{
+		lines:     lines,
 		settings:  s,
 		logger:    l,
 		timers:    timer.NewService(),
@@ -75,8 +82,11 @@
 		store:     adapter.NewClient(s.Store()),
 		adopter:   adopter.New(adapter.ConfigKey, adapter.Config, l),
 		registrar: registrar.New(adapter.Target, l),
-		estimator: estimator.New(),
 	}
+	v.estimator = estimator.New(&beliefLog{
+		names:  v.registrar,
+		logger: l,
+	})
 	v.tallier = tallier.New(v.timers.Now(), newLimits(v.adopter))
 	var err error
 	if v.tracer, err = tracer.New(context.Background(), s.Tracing(), s.ID()); err != nil {
@@ -105,10 +115,34 @@
 		logger: l,
 	}
 	v.addControllers(newOperators(operators, v.pages()))
+	if s.Metrics() != "" {
+		ln, err := config.Listen(context.Background(), "tcp", s.Metrics())
+		if err != nil {
+			return nil, errors.Wrapf(err, "listening on %s; is another process using it?", s.Metrics())
+		}
+		v.controllers = append(v.controllers, newOperators(ln, v.pages()))
+	}
+	v.addGauges()
 
 	return v, nil
 }
 
+// addGauges adds what the parts measure to the counters.
+func (v *StoreVM) addGauges() {
+	for name, read := range map[string]func() int64{
+		"log.dropped":    v.lines.Dropped,
+		"targets.listed": func() int64 { return int64(v.registrar.Size()) },
+		"config.version": func() int64 { return int64(v.adopter.Manifest().Version()) },
+		"vms.heard":      func() int64 { heard, _ := v.gossiper.Census(); return int64(heard) },
+		"vms.known":      func() int64 { _, known := v.gossiper.Census(); return int64(known) },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, v.meter.Registry(), read)
+	}
+	v.placer.Each(func(name string, c metrics.Counter) {
+		_ = v.meter.Registry().Register(name, c) // The names differ.
+	})
+}
+
 // addGossip joins the parts that know what other VMs see and use.
 func (v *StoreVM) addGossip(conn net.PacketConn) {
 	spread := &lateSpreader{}
@@ -147,6 +181,7 @@
 	vms := subscriber.New("vms", v.store.Topic(adapter.PeersTopic), v.gossiper, v.gossiper, v.timers, v.logger).Idle()
 	v.gossiper.Follow(configurations, targets, vms)
 	v.controllers = []supervisor.Controller{
+		v.lines,
 		v.timers,
 		configurations,
 		targets,
@@ -170,6 +205,7 @@
 func (v *StoreVM) chain() *handler.Chain {
 	return handler.NewChain(
 		filterer.NewTraceRequest(v.tracer),
+		filterer.NewJournal(v.logger, v.names.RequestID(), v.timers),
 		filterer.NewCount(v.meter, v.timers),
 		filterer.NewLimit(v.settings.MaxBody(), maxFields),
 		filterer.NewReady(v),
@@ -202,8 +238,8 @@
 	}
 	mux.HandleFunc("GET /live", live)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		v.meter.WriteJSON(w)
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_ = v.meter.WriteText(w) // The operator may have gone.
 	})
 
 	return mux
@@ -242,10 +278,12 @@
 	err := supervisor.Run(running, v.controllers...)
 	if err != nil {
 		v.logger.Log(logger.Failed, logger.Failure(err))
+		v.lines.Flush()
 
 		return errors.Wrap(err, "running the VM")
 	}
 	v.logger.Log(logger.Stopped, logger.Millis("ran", v.timers.Now().Sub(start)))
+	v.lines.Flush()
 
 	return errors.Wrap(v.tracer.Close(context.WithoutCancel(ctx)), "stopping the VM")
 }
--- a/internal/commander/cmd_serve.go
+++ b/internal/commander/cmd_serve.go
@@ -40,7 +40,7 @@
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
 	l := logger.New(logOutput(settings), settings.LogFormat(), settings.ID())
-	vm, err := assemble(settings, l)
+	vm, err := assemble(settings, l, logOutput(settings))
 	if err != nil {
 		return errors.Wrap(err, "starting the VM")
 	}
@@ -98,10 +98,10 @@
 }
 
 // assemble builds the VM for the platform that the settings name.
-func assemble(s *configurer.Settings, l *logger.Logger) (process, error) {
+func assemble(s *configurer.Settings, l *logger.Logger, out io.Writer) (process, error) {
 	if s.Store() != "" {
-		return assembler.NewStoreVM(s, l) //nolint:wrapcheck // Wrapped by serve.
+		return assembler.NewStoreVM(s, out)
 	}
 
-	return assembler.New(s, l) //nolint:wrapcheck // Wrapped by serve.
+	return assembler.New(s, l)
 }
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -29,6 +29,8 @@
 	// store is the IP address and port of the platform's store; "" where the
 	// fleet runs on a log and a list of VMs.
 	store string
+	// metrics is the further address at which operators are served, or "".
+	metrics string
 	// readyPath is the further path at which readiness is served, or "".
 	readyPath string
 	// retention is how long the log keeps a record; above 0.
@@ -91,6 +93,7 @@
 	ListBase   string
 	Store      string
 	ReadyPath  string
+	Metrics    string
 	// Retention is DefaultRetention where it is 0.
 	Retention time.Duration
 	MaxBody   int
@@ -113,6 +116,7 @@
 		listBase:   s.ListBase,
 		store:      s.Store,
 		readyPath:  s.ReadyPath,
+		metrics:    s.Metrics,
 		retention:  cmp.Or(s.Retention, DefaultRetention),
 		maxBody:    s.MaxBody,
 		stopGrace:  s.StopGrace,
@@ -153,6 +157,9 @@
 // on a log and a list of VMs.
 func (s *Settings) Store() string { return s.store }
 
+// Metrics returns the further address at which operators are served, or "".
+func (s *Settings) Metrics() string { return s.metrics }
+
 // ReadyPath returns the further path at which readiness is served, or "".
 func (s *Settings) ReadyPath() string { return s.readyPath }
 
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -43,6 +43,7 @@
 		spec.Callers = o.address("callers")
 		spec.Peers = o.address("peers")
 		spec.Operators = o.address("operators")
+		spec.Metrics = o.optionalAddress("metrics")
 		spec.Advertised = o.optionalAddress("peersAdvertised")
 	})
 	r.object("platform", func(o *reader) {
--- a/internal/filterer/place.go
+++ b/internal/filterer/place.go
@@ -57,6 +57,7 @@
 		return handler.NewRefusal(handler.CodeNoTarget, "no target of the service can take the request").WithRetryAfter(wait)
 	}
 	x.SetTarget(a.Member().Target())
+	x.SetRisk(a.Risk())
 	before := x.Attempt()
 	err := next.Serve(ctx, x)
 	result := placer.Result{}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,7 +17,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
-	"github.com/lagoonkeel/lagoonkeel/internal/hasher"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
 	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
@@ -124,66 +124,6 @@
 	readers []reader
 }
 
-// Follow tells the other VMs how far the topics are read, in the same order at
-// every VM. It must be called before Run.
-func (g *Gossiper) Follow(readers ...reader) { g.readers = readers }
-
-// Rank returns how many of the VMs that are heard and reach the store come
-// before this one in waiting for changes of the topic.
-func (g *Gossiper) Rank(topic string) int {
-	i := g.index(topic)
-	now := g.spec.Clock.Now()
-	own := hasher.Sum(topic, g.spec.Self)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	n := 0
-	for _, p := range g.roster.peers {
-		if p.audible(now) && !p.left && !p.lost[uint32(i)] && hasher.Sum(topic, p.address) < own { //nolint:gosec // A few topics.
-			n++
-		}
-	}
-
-	return n
-}
-
-// index returns the number of the topic, or -1.
-func (g *Gossiper) index(topic string) int {
-	return slices.IndexFunc(g.readers, func(r reader) bool { return r.Topic() == topic })
-}
-
-// Forward passes records of a topic on, if they fit one packet. Where they do
-// not, the others hear how far this VM has read, and read by themselves.
-func (g *Gossiper) Forward(topic string, from, to subscriber.Offset, records []subscriber.Record) {
-	i := g.index(topic)
-	if i < 0 {
-		return
-	}
-	positions := g.positions()
-	size := 0
-	for _, x := range records {
-		size += len(x.Key()) + len(x.Value())
-	}
-	g.mu.Lock()
-	r := g.brief()
-	r.positions = positions
-	if size <= maxRelay {
-		r.relay = NewRelay(uint32(i), from, to, records) //nolint:gosec // A few topics.
-	}
-	near := g.near(g.spec.Clock.Now())
-	g.mu.Unlock()
-	g.send(r, near)
-}
-
-// positions returns how far this VM has read.
-func (g *Gossiper) positions() []Position {
-	list := make([]Position, len(g.readers))
-	for i, r := range g.readers {
-		list[i] = NewPosition(uint32(i), uint32(r.Position()), r.Lost()) //nolint:gosec // Topics hold far fewer records in a day.
-	}
-
-	return list
-}
-
 // New returns a gossiper that knows no other VM.
 func New(s Spec) *Gossiper {
 	g := &Gossiper{
@@ -201,19 +141,21 @@
 
 // Run reports and listens until ctx ends.
 func (g *Gossiper) Run(ctx context.Context) error {
-	ended := make(chan error, 1)
+	ended := make(chan struct{})
 	go func() {
-		ended <- g.listen()
+		defer close(ended)
+		g.listen()
 	}()
 	g.spec.Clock.Every(period).Each(ctx, g.turn)
-	g.Leave(ctx)
+	g.leave()
 	err := g.spec.Conn.Close()
+	<-ended
 
-	return errors.CombineErrors(errors.Wrap(err, "closing the socket of reports"), <-ended)
+	return errors.Wrap(err, "closing the socket of reports")
 }
 
-// Leave tells the others that this VM stops.
-func (g *Gossiper) Leave(context.Context) {
+// leave tells the others that this VM stops.
+func (g *Gossiper) leave() {
 	now := g.spec.Clock.Now()
 	g.mu.Lock()
 	r := g.report(now)
@@ -336,14 +278,28 @@
 		to = g.all()
 	}
 	heard, known := g.roster.census(now)
+	found, lost := g.roster.changes(now)
 	quiet := len(counts) == 0 && len(open) == 0 && len(r.evidence) == 0 && g.turns%quietTurns != 0
 	g.mu.Unlock()
 	g.spec.Tallier.Attend(heard, known)
+	g.tellPeers(found, lost, heard, known)
 	if !quiet {
 		g.send(r, to)
 	}
 }
 
+// tellPeers logs the VMs that were found and lost, a line for each kind.
+func (g *Gossiper) tellPeers(found, lost []string, heard, known int) {
+	if len(found) > 0 {
+		g.spec.Logger.Log(logger.PeerHeard, logger.Text("peers", strings.Join(found, ",")),
+			logger.Int("heard", int64(heard)), logger.Int("known", int64(known)))
+	}
+	if len(lost) > 0 {
+		g.spec.Logger.Log(logger.PeerLost, logger.Text("peers", strings.Join(lost, ",")),
+			logger.Int("heard", int64(heard)), logger.Int("known", int64(known)))
+	}
+}
+
 // brief returns the next report without content; the lock must be held.
 func (g *Gossiper) brief() *Report {
 	g.sequence++
@@ -397,83 +353,3 @@
 		_, _ = g.spec.Conn.WriteTo(data, net.UDPAddrFromAddrPort(address))
 	}
 }
-
-// listen takes in reports until the socket is closed.
-func (g *Gossiper) listen() error {
-	buffer := make([]byte, maxDatagram)
-	for {
-		n, from, err := g.spec.Conn.ReadFrom(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			continue // An earlier datagram was refused by its address.
-		}
-		r, err := g.spec.Codec.Decode(buffer[:n])
-		if err != nil {
-			g.spec.Logger.Log(logger.ReportSkipped, logger.Text("from", from.String()), logger.Failure(err))
-
-			continue
-		}
-		g.hear(from.String(), r)
-	}
-}
-
-// hear takes in a report.
-func (g *Gossiper) hear(from string, r *Report) {
-	now := g.spec.Clock.Now()
-	type use struct {
-		account     tallier.Account
-		asked, used uint32
-	}
-	var uses []use
-	g.mu.Lock()
-	p := g.roster.add(now, from)
-	news := p.accept(now, r)
-	if news {
-		for _, c := range r.counts {
-			asked, used := p.delta(c)
-			uses = append(uses, use{
-				account: c.Account(),
-				asked:   asked,
-				used:    used,
-			})
-		}
-		if len(r.loads) > 0 || len(r.counts) > 0 {
-			p.loads = r.loads
-			open := g.roster.load(now)
-			g.open.Store(&open)
-		}
-		if len(r.beliefs) > 0 {
-			g.asks = 0
-		}
-		for _, q := range r.positions {
-			p.lost[q.topic] = q.lost
-		}
-	}
-	g.mu.Unlock()
-	if !news {
-		return
-	}
-	for _, u := range uses {
-		g.spec.Tallier.Hear(now, u.account, u.asked, u.used)
-	}
-	for _, e := range r.evidence {
-		g.spec.Evidence.Hear(now, e.target, e.outcome)
-	}
-	if r.asking {
-		g.answer(now, from)
-	}
-	g.spec.Evidence.Adopt(now, r.beliefs)
-	for _, m := range r.marks {
-		g.spec.Quarantine.Apply(m)
-	}
-	if q := r.relay; q != nil && int(q.topic) < len(g.readers) {
-		g.readers[q.topic].Take(q.from, q.to, q.records)
-	}
-	for _, q := range r.positions {
-		if int(q.topic) < len(g.readers) {
-			g.readers[q.topic].Pass(subscriber.Offset(q.next))
-		}
-	}
-}
--- a/internal/gossiper/roster.go
+++ b/internal/gossiper/roster.go
@@ -29,6 +29,8 @@
 	counts map[tallier.Account]tallier.Count
 	loads  []Load
 	left   bool
+	// told is set while the log says that the VM is heard.
+	told bool
 	// lost holds the topics, by number, of which the store does not answer it.
 	lost map[uint32]bool
 }
@@ -97,6 +99,23 @@
 	return p.heard != 0 && now.Sub(p.heard) <= silence
 }
 
+// changes returns the addresses of VMs that became audible and silent since the
+// last call.
+func (r *roster) changes(now timer.Instant) (heard, lost []string) {
+	for _, p := range r.peers {
+		audible := p.audible(now) && !p.left
+		switch {
+		case audible && !p.told:
+			heard = append(heard, p.address)
+		case !audible && p.told:
+			lost = append(lost, p.address)
+		}
+		p.told = audible
+	}
+
+	return heard, lost
+}
+
 // census counts the VMs, this one included, that are heard and that are known.
 // VMs that are gone count only while this VM does not hear most of the others:
 // then it may be the one that is cut off.
--- a/internal/handler/exchange.go
+++ b/internal/handler/exchange.go
@@ -29,6 +29,10 @@
 	tried []string
 	// attempt is the result of the last attempt; nil before the first.
 	attempt *Attempt
+	// trail lists the attempts that ended, in order.
+	trail []Step
+	// risk is the likelihood of failing that the present target was chosen with.
+	risk float64
 	// patience bounds the wait for the first byte of the next attempt's answer;
 	// 0 where only the deadline does.
 	patience time.Duration
@@ -109,8 +113,32 @@
 func (x *Exchange) SetAttempt(a *Attempt) {
 	x.attempt = a
 	x.response = a.Response()
+	x.trail = append(x.trail, Step{
+		attempt: a,
+		risk:    x.risk,
+	})
 }
 
+// SetRisk stores the likelihood of failing that the target was chosen with.
+func (x *Exchange) SetRisk(risk float64) { x.risk = risk }
+
+// Trail returns the attempts that ended, in order.
+func (x *Exchange) Trail() []Step { return x.trail }
+
+// Step is one attempt on the trail of an exchange.
+type Step struct {
+	attempt *Attempt
+	// risk is the likelihood of failing that the target was chosen with; 0
+	// where it is not known.
+	risk float64
+}
+
+// Attempt returns the attempt.
+func (s Step) Attempt() *Attempt { return s.attempt }
+
+// Risk returns the likelihood of failing that the target was chosen with.
+func (s Step) Risk() float64 { return s.risk }
+
 // Patience returns the longest wait for the first byte of the next attempt's
 // answer, or 0 where only the deadline bounds it.
 func (x *Exchange) Patience() time.Duration { return x.patience }
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -50,6 +50,9 @@
 	ProposalFailed      = Event{number: 303, level: LevelWarn, name: "proposal-failed", meaning: "A join, removal or renewal could not be appended; the VM tries again."}
 	ReportSkipped       = Event{number: 304, level: LevelWarn, name: "report-skipped", meaning: "A report of another VM cannot be read and is passed over."}
 	AnnounceFailed      = Event{number: 305, level: LevelWarn, name: "announce-failed", meaning: "The VM could not list its address in the platform's store; it tries again."}
+	PeerHeard           = Event{number: 306, level: LevelInfo, name: "peer-heard", meaning: "Reports of another VM arrive, for the first time or again."}
+	PeerLost            = Event{number: 307, level: LevelWarn, name: "peer-lost", meaning: "Reports of another VM have not arrived for a while; its part of the limits is left to it."}
+	LinesDropped        = Event{number: 106, level: LevelWarn, name: "lines-dropped", meaning: "Log lines were dropped because standard output did not take them in time; count tells how many since the start."}
 	TargetEjected       = Event{number: 500, level: LevelWarn, name: "target-ejected", meaning: "A target gets trial requests only; scope path means from this VM alone."}
 	TargetReduced       = Event{number: 501, level: LevelInfo, name: "target-reduced", meaning: "A target gets a part of its work."}
 	TargetReturned      = Event{number: 502, level: LevelInfo, name: "target-returned", meaning: "A target gets all its work again, after a warm-up if it was ejected."}
@@ -61,17 +64,27 @@
 	TargetLeaving       = Event{number: 503, level: LevelInfo, name: "target-leaving", meaning: "A target is leaving and gets no new work."}
 )
 
+// Events of requests.
+var (
+	RequestServed   = Event{number: 600, level: LevelInfo, name: "request-served", meaning: "A target answered at the first attempt; one request in sixteen is logged."}
+	RequestRepeated = Event{number: 601, level: LevelInfo, name: "request-repeated", meaning: "A target answered after other attempts failed."}
+	RequestFailed   = Event{number: 602, level: LevelWarn, name: "request-failed", meaning: "The caller got a failure that a target answered."}
+	RequestRefused  = Event{number: 603, level: LevelWarn, name: "request-refused", meaning: "The caller got an answer of the fleet's own; code, outcome and reason tell why."}
+	RequestLeft     = Event{number: 604, level: LevelInfo, name: "request-left", meaning: "The caller closed its connection before the answer."}
+)
+
 // Events returns every event in the order of the numbers.
 func Events() []Event {
 	return []Event{
-		Started, Stopping, Stopped, Failed, SettingsRead, SettingsRefused,
+		Started, Stopping, Stopped, Failed, SettingsRead, SettingsRefused, LinesDropped,
 		ChangeApplied, ChangeSkipped, LogUnavailable, LogAvailable, StateRestored, KeysStale,
 		KeysFresh, LogBehind, SnapshotMissing, SnapshotWritten, SnapshotFailed,
 		StoreLost, StoreRegained, ConfigTaken, ConfigSkipped,
-		ListUnavailable, EpochBegan, MemberRecordSkipped, ProposalFailed, ReportSkipped, AnnounceFailed,
+		ListUnavailable, EpochBegan, MemberRecordSkipped, ProposalFailed, ReportSkipped, AnnounceFailed, PeerHeard, PeerLost,
 		ClaimsLogged, ClaimsInMemory, ClaimsIncomplete, ClaimsUnreadable,
 		TargetEjected, TargetReduced, TargetReturned, TargetLeaving,
 		TargetListed, TargetGone, TargetSkipped, TargetSuspected, TargetTrusted,
 		Quarantined,
+		RequestServed, RequestRepeated, RequestFailed, RequestRefused, RequestLeft,
 	}
 }
--- /dev/null
+++ b/internal/logger/queue.go
@@ -0,0 +1,77 @@
+package logger
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+)
+
+// queueLines bounds the log lines that wait for the output.
+const queueLines = 1024
+
+// Queue is a writer that never blocks: lines wait for the output in a bounded
+// queue, and those that find it full are dropped and counted. It is also the
+// controller that writes them.
+type Queue struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewQueue returns a queue before the output.
+func NewQueue(out io.Writer) *Queue {
+	return &Queue{
+		out:   out,
+		lines: make(chan []byte, queueLines),
+	}
+}
+
+// Write takes one line.
+func (q *Queue) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), line...):
+	default:
+		q.dropped.Add(1)
+	}
+
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (q *Queue) Dropped() int64 { return q.dropped.Load() }
+
+// Name returns the controller's name.
+func (q *Queue) Name() string { return "log-queue" }
+
+// Run writes lines until ctx ends.
+func (q *Queue) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			q.Flush()
+
+			return nil
+		case line := <-q.lines:
+			q.put(line)
+		}
+	}
+}
+
+// Flush writes the lines that wait.
+func (q *Queue) Flush() {
+	for {
+		select {
+		case line := <-q.lines:
+			q.put(line)
+		default:
+			return
+		}
+	}
+}
+
+// put writes one line; one that the output refuses counts as dropped.
+func (q *Queue) put(line []byte) {
+	if _, err := q.out.Write(line); err != nil {
+		q.dropped.Add(1)
+	}
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -5,8 +5,12 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
@@ -86,6 +90,30 @@
 	m.buckets[len(bounds)].Inc(1)
 }
 
+// WriteText writes every counter and gauge as a line of name and value, in the
+// order of the names.
+func (m *Meter) WriteText(w io.Writer) error {
+	values := map[string]int64{}
+	m.registry.Each(func(name string, v any) {
+		switch c := v.(type) {
+		case metrics.Counter:
+			values[name] = c.Count()
+		case metrics.Gauge:
+			values[name] = c.Value()
+		}
+	})
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		if _, err := fmt.Fprintf(w, "lagoonkeel_%s %d\n", textName.Replace(name), values[name]); err != nil {
+			return errors.Wrap(err, "writing the counters")
+		}
+	}
+
+	return nil
+}
+
+// textName turns a name of the registry into one of the text format.
+var textName = strings.NewReplacer(".", "_", "-", "_", "µ", "u")
+
 // WriteJSON writes every counter as JSON.
 func (m *Meter) WriteJSON(w io.Writer) {
 	metrics.WriteJSONOnce(m.registry, w)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
 	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -75,6 +77,7 @@
 type Attempt struct {
 	member  *registrar.Member
 	route   string
+	risk    float64
 	started timer.Instant
 	// overdue is the instant from which on the attempt counts as silent; told is
 	// set once that was said.
@@ -87,6 +90,9 @@
 // Member returns the target.
 func (a *Attempt) Member() *registrar.Member { return a.member }
 
+// Risk returns the likelihood of failing that the target was chosen with.
+func (a *Attempt) Risk() float64 { return a.risk }
+
 // Started returns when the attempt began.
 func (a *Attempt) Started() timer.Instant { return a.started }
 
@@ -102,11 +108,20 @@
 	// full holds the instants until which targets are passed over.
 	full  map[estimator.Key]timer.Instant
 	paces map[string]*pace
+	// outcomes counts the attempts of each outcome; it is never written after
+	// New.
+	outcomes map[estimator.Outcome]metrics.Counter
 }
 
 // New returns a placer without open attempts.
 func New(s Spec) *Placer {
+	outcomes := map[estimator.Outcome]metrics.Counter{}
+	for _, o := range estimator.Outcomes() {
+		outcomes[o] = metrics.NewCounter()
+	}
+
 	return &Placer{
+		outcomes:  outcomes,
 		spec:      s,
 		open:      map[*Attempt]struct{}{},
 		perTarget: map[estimator.Key]int{},
@@ -159,6 +174,7 @@
 	a := &Attempt{
 		member:  list[i].member,
 		route:   c.Route,
+		risk:    list[i].risk,
 		started: now,
 		overdue: now.Add(pace.late()),
 	}
@@ -198,6 +214,13 @@
 	return list
 }
 
+// Each calls f with each counter of the attempts' outcomes.
+func (p *Placer) Each(f func(name string, c metrics.Counter)) {
+	for o, c := range p.outcomes {
+		f("attempts."+o.String(), c)
+	}
+}
+
 // Result is how an attempt ended.
 type Result struct {
 	// Outcome is what it says about the target; 0 where it says nothing.
@@ -222,6 +245,9 @@
 	}
 	repeated := a.told && r.Outcome == estimator.OutcomeSilent
 	p.mu.Unlock()
+	if c, ok := p.outcomes[r.Outcome]; ok {
+		c.Inc(1)
+	}
 	if r.Outcome.Valid() && !repeated {
 		p.spec.Witness.Observe(now, k, r.Outcome)
 		p.spec.Teller.Saw(k, r.Outcome)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -125,6 +125,17 @@
 // caller must not change the slice.
 func (r *Registrar) Members(service string) []*Member { return r.table.Load().services[service] }
 
+// Find returns the name of the target of the key, or "".
+func (r *Registrar) Find(k estimator.Key) string {
+	for id, m := range r.table.Load().members {
+		if m.key == k {
+			return id
+		}
+	}
+
+	return ""
+}
+
 // Size returns the number of targets.
 func (r *Registrar) Size() int { return len(r.table.Load().members) }
 
--- a/pkg/manifester/manifester.go
+++ b/pkg/manifester/manifester.go
@@ -357,8 +357,25 @@
 
 // equal reports whether both routes declare the same.
 func (r *Route) equal(o *Route) bool {
-	return slices.Equal(r.shares, o.shares) &&
-		r.name == o.name && r.host == o.host && r.method == o.method && r.prefix == o.prefix && r.below == o.below &&
-		r.service == o.service && r.open == o.open && r.idempotent == o.idempotent &&
-		r.timeout == o.timeout && r.aim == o.aim && r.attempts == o.attempts && r.priority == o.priority
+	return slices.Equal(r.shares, o.shares) && r.facts() == o.facts()
+}
+
+// facts returns what the route declares but for its shares.
+func (r *Route) facts() routeFacts {
+	return routeFacts{
+		texts:    [...]string{r.name, r.host, r.method, r.prefix, r.service},
+		flags:    [...]bool{r.below, r.open, r.idempotent},
+		times:    [...]time.Duration{r.timeout, r.aim},
+		attempts: r.attempts,
+		priority: r.priority,
+	}
+}
+
+// routeFacts is what two equal routes have in common.
+type routeFacts struct {
+	texts    [5]string
+	flags    [3]bool
+	times    [2]time.Duration
+	attempts int
+	priority int
 }
