--- /dev/null
+++ b/internal/decoder/report_test.go
@@ -0,0 +1,72 @@
+package decoder_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/encoder"
+	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
+	"github.com/lagoonkeel/lagoonkeel/internal/gossiper"
+	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
+	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
+	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
+)
+
+func sampleReport() *gossiper.Report {
+	return gossiper.NewReport(gossiper.ReportSpec{
+		Start:     4_000_000_000,
+		Sequence:  17,
+		Leaving:   true,
+		Asking:    true,
+		Counts:    []tallier.Count{tallier.NewCount(tallier.TeamAccount("guides"), 300, 280)},
+		Loads:     []gossiper.Load{gossiper.NewLoad(7, 3)},
+		Evidence:  []gossiper.Evidence{gossiper.NewEvidence(7, estimator.OutcomeFailed)},
+		Marks:     []quarantiner.Mark{quarantiner.NewDeath("f", "i-1"), quarantiner.NewSurvival("g")},
+		Positions: []gossiper.Position{gossiper.NewPosition(1, 99, true)},
+		Beliefs:   []estimator.Belief{estimator.NewBelief(7, 1, 1500*time.Millisecond)},
+		Relay: gossiper.NewRelay(1, 97, 99, []subscriber.Record{
+			subscriber.NewRecord("i-1", []byte(`{"a":1}`), 97),
+			subscriber.NewRecord("i-2", nil, 98),
+		}),
+	})
+}
+
+// TestReport holds that a report is the same after encoding and decoding, and
+// that no shorter or longer text is one.
+func TestReport(t *testing.T) {
+	data := encoder.Report(sampleReport())
+	r, err := decoder.Report(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again := encoder.Report(r); !bytes.Equal(again, data) {
+		t.Errorf("the report changed:\n%x\n%x", data, again)
+	}
+	if removed := r.Relay().Records()[1]; !removed.Removed() {
+		t.Error("a removed key came back with a value")
+	}
+	for n := range data {
+		if _, err := decoder.Report(data[:n]); err == nil {
+			t.Errorf("%d of %d bytes were taken for a report", n, len(data))
+		}
+	}
+	if _, err := decoder.Report(append(data, 0)); err == nil {
+		t.Error("a report with a byte too many was taken")
+	}
+}
+
+// FuzzReport holds that no datagram breaks the decoder.
+func FuzzReport(f *testing.F) {
+	f.Add(encoder.Report(sampleReport()))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := decoder.Report(data)
+		if err != nil {
+			return
+		}
+		if _, err := decoder.Report(encoder.Report(r)); err != nil {
+			t.Errorf("a report that was read cannot be read again: %v", err)
+		}
+	})
+}
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -105,37 +105,45 @@
 // waiting is the number of requests that wait for a slot, this one included.
 func (c candidate) waiting() float64 { return math.Max(0, c.open+1-c.slots) }
 
-// choose returns the index of a target, the likelier the less is lost there and
-// the more room it has; -1 without targets.
+// choose returns the index of a target, the likelier the greater its weight; -1
+// without targets.
 func choose(list []candidate, d demand) int {
-	if len(list) == 0 {
-		return -1
+	weights, total := weigh(list, d)
+	at := rand.Float64() * total //nolint:gosec // Spreads load; nothing secret hangs on it.
+	for i, w := range weights {
+		if at -= w; at < 0 {
+			return i
+		}
 	}
+
+	return len(list) - 1
+}
+
+// weigh returns the weight of each target and their sum: it is the greater the
+// less is lost there and the more room it has. Targets that are due get a part
+// in any case.
+func weigh(list []candidate, d demand) (weights []float64, total float64) {
 	losses := make([]float64, len(list))
 	least := math.Inf(1)
 	for i, c := range list {
 		losses[i] = c.loss(d)
 		least = math.Min(least, losses[i])
 	}
-	total := 0.0
-	weights := losses
+	weights = make([]float64, len(list))
 	for i, c := range list {
 		weights[i] = math.Exp((least-losses[i])/spread) * c.slots / (1 + c.open)
 		total += weights[i]
 	}
-	bound := restBound(list)
-	for i, c := range list {
-		if least := restPart * total; c.due(bound) && weights[i] < least {
-			total += least - weights[i]
-			weights[i] = least
-		}
+	if len(list) == 0 {
+		return weights, total
 	}
-	at := rand.Float64() * total //nolint:gosec // Spreads load; nothing secret hangs on it.
-	for i, w := range weights {
-		if at -= w; at < 0 {
-			return i
+	bound, all := restBound(list), total
+	for i, c := range list {
+		if w := restPart * all; c.due(bound) && weights[i] < w {
+			total += w - weights[i]
+			weights[i] = w
 		}
 	}
 
-	return len(list) - 1
+	return weights, total
 }
--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,90 @@
+package registrar_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
+	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// decode reads "service state born".
+func decode(id string, value []byte) (*registrar.Entry, error) {
+	var service, state string
+	var born int64
+	if _, err := fmt.Sscan(string(value), &service, &state, &born); err != nil {
+		return nil, errors.Wrap(err, "reading a test entry")
+	}
+
+	return registrar.NewEntry(registrar.EntrySpec{
+		Target: manifester.TargetSpec{
+			Name:    id,
+			Address: "10.0.0.1:80",
+			Slots:   4,
+		},
+		Service:  service,
+		Draining: state == "draining",
+		Born:     born,
+	}), nil
+}
+
+// TestList compares the targets that may get work after each record with the
+// golden transcript.
+func TestList(t *testing.T) {
+	var out bytes.Buffer
+	r := registrar.New(decode, logger.Discard())
+	now := timer.Instant(0).Add(time.Hour)
+	offset := subscriber.Offset(0)
+	show := func(what string) {
+		fmt.Fprintf(&out, "%s:", what)
+		for _, m := range r.Members("bookings") {
+			if m.Listed(now) {
+				fmt.Fprintf(&out, " %s/%d", m.Target().Name(), m.Key()%1000)
+			}
+		}
+		fmt.Fprintln(&out)
+	}
+	update := func(what string, entries ...string) {
+		var records []subscriber.Record
+		for _, e := range entries {
+			key, value, ok := strings.Cut(e, "=")
+			record := subscriber.NewRecord(key, nil, offset)
+			if ok {
+				record = subscriber.NewRecord(key, []byte(value), offset)
+			}
+			records = append(records, record)
+			offset++
+		}
+		if strings.HasPrefix(what, "newest") {
+			r.Replace(now, records)
+		} else {
+			r.Update(now, records)
+		}
+		show(what)
+	}
+	update("newest", "a=bookings ready 1", "b=bookings ready 1", "c=other ready 1")
+	update("one that cannot be read", "d=?", "e=bookings ready 1")
+	update("draining", "a=bookings draining 1")
+	update("removed", "b")
+	update("the same id started again", "e=bookings ready 2")
+	update("a late word of the first start of another", "b=bookings ready 1")
+	r.Lost(now)
+	now = now.Add(5 * time.Second)
+	r.Reached(now)
+	update("entries lapsed while the store was away", "b", "e")
+	now = now.Add(time.Second)
+	update("one is back", "b=bookings ready 1")
+	now = now.Add(time.Second)
+	show("two seconds after the store is back")
+	update("newest, without the one that was back", "f=bookings ready 1")
+	goldie.New(t).Assert(t, "list", out.Bytes())
+}
--- /dev/null
+++ b/internal/splitter/splitter_test.go
@@ -0,0 +1,41 @@
+package splitter_test
+
+import (
+	"math"
+	"testing"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/splitter"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// TestShares holds that each service gets its weight's part of few requests,
+// also where many VMs divide them.
+func TestShares(t *testing.T) {
+	const (
+		vms      = 17
+		requests = 200
+		allowed  = 0.05
+	)
+	r := manifester.NewRoute(manifester.RouteSpec{
+		Name:   "lookup",
+		Shares: []manifester.Share{manifester.NewShare("a", 25), manifester.NewShare("b", 75)},
+	})
+	counts := map[string]int{}
+	for range vms {
+		s := splitter.New()
+		for range requests / vms {
+			counts[s.Choose(r)]++
+		}
+	}
+	total := float64(counts["a"] + counts["b"])
+	if part := float64(counts["a"]) / total; math.Abs(part-0.25) > allowed {
+		t.Errorf("the first service got %.3f of the requests, want 0.25", part)
+	}
+	plain := manifester.NewRoute(manifester.RouteSpec{
+		Name:    "plain",
+		Service: "c",
+	})
+	if got := splitter.New().Choose(plain); got != "c" {
+		t.Errorf("a route of one service chose %q", got)
+	}
+}
