--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -174,7 +174,7 @@
 		rank := s.crowd.Rank(s.name)
 		if err != nil {
 			s.failed(err)
-			s.rest(ctx, s.duty.failed(rank))
+			s.rest(ctx, s.duty.failed(rank), nil)
 
 			continue
 		}
@@ -333,13 +333,13 @@
 // for changes where others did.
 func (s *Subscriber) stand(ctx context.Context, d time.Duration, waits bool) {
 	for d > 0 && ctx.Err() == nil && !s.behind() && s.duty.waits(s.crowd.Rank(s.name)) == waits {
-		s.rest(ctx, min(d, rankPeriod))
+		s.rest(ctx, min(d, rankPeriod), s.passed)
 		d -= rankPeriod
 	}
 }
 
-// rest waits until the VM has to call again.
-func (s *Subscriber) rest(ctx context.Context, d time.Duration) {
+// rest waits until the VM has to call again, or is woken.
+func (s *Subscriber) rest(ctx context.Context, d time.Duration, woken <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
@@ -347,7 +347,7 @@
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
-	case <-s.passed:
+	case <-woken:
 	case <-t.Due():
 	}
 }
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
@@ -171,6 +173,9 @@
 	answer(call{records: []subscriber.Record{record("d", 8), record("e", 9)}, next: 10}, "changes from 10 waits=true")
 	answer(call{err: subscriber.NewExpiredError(12)}, "newest")
 	answer(call{err: context.DeadlineExceeded}, "newest")
+	for to := range subscriber.Offset(20) {
+		sub.Pass(20 + to) // Reports of VMs that read further do not shorten the pause after a failure.
+	}
 	cancel()
 	group.Wait()
 	if sub.Position() != 0 {
@@ -178,3 +183,47 @@
 	}
 	goldie.New(t).Assert(t, "follow", out.text.Bytes())
 }
+
+// refused is a topic of a store that turns this VM away after the first call.
+type refused struct {
+	calls atomic.Int64
+}
+
+// Newest finds nothing.
+func (*refused) Newest(context.Context) ([]subscriber.Record, subscriber.Offset, error) {
+	return nil, 0, nil
+}
+
+// Changes fails.
+func (r *refused) Changes(context.Context, subscriber.Offset, time.Duration) ([]subscriber.Record, subscriber.Offset, error) {
+	r.calls.Add(1)
+
+	return nil, 0, errors.New("turned away")
+}
+
+// TestRefused holds that a VM which the store turns away does not call again for
+// each report of the VMs that go on reading.
+func TestRefused(t *testing.T) {
+	const (
+		allowed = 8
+		reports = 400
+	)
+	out := &transcript{news: make(chan struct{}, 1)}
+	topic := &refused{}
+	clock := timer.NewService()
+	sub := subscriber.New("topic", topic, &view{out: out, usable: true}, &crowd{out: out}, clock, logger.Discard())
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = clock.Run(ctx) })
+	group.Go(func() { _ = sub.Run(ctx) })
+	out.await(t, "  lost")
+	for to := range subscriber.Offset(reports) {
+		sub.Pass(to + 1)
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	group.Wait()
+	if n := topic.calls.Load(); n > allowed {
+		t.Errorf("%d calls in 0.4 s, at most %d are allowed", n, allowed)
+	}
+}
