--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 LOCAL := github.com/lagoonkeel/lagoonkeel
-GO_DIRS := cmd internal pkg
+GO_DIRS := cmd internal pkg platform
 
 .PHONY: help build test format lint vet tools demo demo-processes model fuzz-seeds measure measure-rates generate ci
 
--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -133,8 +133,8 @@
 		"log.dropped":    v.lines.Dropped,
 		"targets.listed": func() int64 { return int64(v.registrar.Size()) },
 		"config.version": func() int64 { return int64(v.adopter.Manifest().Version()) },
-		"vms.heard":      func() int64 { heard, _ := v.gossiper.Census(); return int64(heard) },
-		"vms.known":      func() int64 { _, known := v.gossiper.Census(); return int64(known) },
+		"vms.heard":      v.heard,
+		"vms.known":      v.known,
 	} {
 		metrics.NewRegisteredFunctionalGauge(name, v.meter.Registry(), read)
 	}
@@ -245,6 +245,19 @@
 	return mux
 }
 
+// heard and known return the numbers of VMs, this one included.
+func (v *StoreVM) heard() int64 {
+	heard, _ := v.gossiper.Census()
+
+	return int64(heard)
+}
+
+func (v *StoreVM) known() int64 {
+	_, known := v.gossiper.Census()
+
+	return int64(known)
+}
+
 // loads returns the open requests of this VM at each target.
 func (v *StoreVM) loads() []gossiper.Load {
 	var list []gossiper.Load
