Bound what all targets that rested get together

Cause: in the grown files dozens of targets rest at a time, and six in a hundred of the requests for each of them was most of the traffic.

--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -24,12 +24,15 @@
 	// restTime is the time after which a target that nobody used is due for a
 	// request, if its risk is at most restRisk or if it is among the restShare of
 	// the service's targets with the least risk. restPart is the part of the
-	// requests that it then gets. So the fleet uses most of the targets that
+	// requests that one of them gets. So the fleet uses most of the targets that
 	// work, and finds out when one works again.
 	restTime  = 800 * time.Millisecond
 	restRisk  = 0.6
 	restShare = 0.60
 	restPart  = 0.06
+	// restTotal bounds the part of the requests that all such targets get
+	// together.
+	restTotal = 0.12
 	// spread is the difference in loss that makes one target e times as likely
 	// to be chosen as another.
 	spread = 0.08
@@ -137,11 +140,18 @@
 	if len(list) == 0 {
 		return weights, total
 	}
-	bound, all := restBound(list), total
+	bound := restBound(list)
+	due := 0
+	for _, c := range list {
+		if c.due(bound) {
+			due++
+		}
+	}
+	part := math.Min(restPart, restTotal/float64(max(1, due))) * total
 	for i, c := range list {
-		if w := restPart * all; c.due(bound) && weights[i] < w {
-			total += w - weights[i]
-			weights[i] = w
+		if c.due(bound) && weights[i] < part {
+			total += part - weights[i]
+			weights[i] = part
 		}
 	}
 
