--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -20,7 +20,7 @@
 	easyPart = 0.5
 	lostPart = 1.3
 	// farLoss is what a request to another data centre costs.
-	farLoss = 0.02
+	farLoss = 0.05
 	// restTime is the time after which a target that nobody used is due for a
 	// request, if its risk is at most restRisk or if it is among the restShare of
 	// the service's targets with the least risk. restPart is the part of the
@@ -29,10 +29,10 @@
 	restTime  = 800 * time.Millisecond
 	restRisk  = 0.6
 	restShare = 0.60
-	restPart  = 0.06
+	restPart  = 0.03
 	// restTotal bounds the part of the requests that all such targets get
 	// together.
-	restTotal = 0.12
+	restTotal = 0.06
 	// spread is the difference in loss that makes one target e times as likely
 	// to be chosen as another.
 	spread = 0.08
