--- a/internal/gossiper/roster.go
+++ b/internal/gossiper/roster.go
@@ -11,6 +11,9 @@
 const (
 	// silence is how long a VM may be unheard before it counts as cut off.
 	silence = 1600 * time.Millisecond
+	// earlySequence is the number of the last report that may be the first one
+	// heard of a VM that has just started.
+	earlySequence = 8
 	// absence is how long a VM may be unheard before it counts as gone, as long
 	// as most others are heard.
 	absence = 12 * time.Second
@@ -27,6 +30,9 @@
 	sequence uint32
 	// counts are the last counts of the peer's present start.
 	counts map[tallier.Account]tallier.Count
+	// whole is set where the peer was heard from the beginning of its present
+	// start: then its first count of an account is use of that moment.
+	whole bool
 	loads  []Load
 	left   bool
 	// told is set while the log says that the VM is heard.
@@ -68,6 +74,7 @@
 		if p.start != 0 && t.sequence > p.sequence && t.start < p.start {
 			return false // A late report of an earlier start.
 		}
+		p.whole = t.sequence <= earlySequence
 		p.start = t.start
 		p.sequence = 0
 		p.counts = map[tallier.Account]tallier.Count{}
@@ -85,7 +92,12 @@
 // delta returns what the peer asked for and used since its last word, and notes
 // it.
 func (p *peer) delta(c tallier.Count) (asked, used uint32) {
-	old := p.counts[c.Account()]
+	old, known := p.counts[c.Account()]
+	if !known && !p.whole {
+		p.counts[c.Account()] = c
+
+		return 0, 0 // Most of it was used before this VM heard of the peer.
+	}
 	if c.Asked() < old.Asked() || c.Used() < old.Used() {
 		return 0, 0 // A report that was overtaken by a newer one.
 	}
