--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -203,24 +203,18 @@
 
 // Run serves until ctx ends, then stops gracefully.
 func (v *VM) Run(ctx context.Context) error {
-	v.logger.Log(logger.Started,
-		logger.Text("callers", v.listener.Address()),
-		logger.Text("peers", v.settings.Peers()),
-		logger.Text("operators", v.settings.Operators()))
-	start := v.timers.Now()
-	running, finish := context.WithCancel(context.WithoutCancel(ctx))
-	defer finish()
-	v.stopper.asked = ctx
-	v.stopper.finish = finish
-	err := supervisor.Run(running, v.controllers...)
-	if err != nil {
-		v.logger.Log(logger.Failed, logger.Failure(err))
-
-		return errors.Wrap(err, "running the VM")
+	life := &lifetime{
+		settings:    v.settings,
+		callers:     v.listener.Address(),
+		logger:      v.logger,
+		timers:      v.timers,
+		stopper:     v.stopper,
+		controllers: v.controllers,
 	}
-	v.logger.Log(logger.Stopped, logger.Millis("ran", v.timers.Now().Sub(start)))
-
-	err = errors.CombineErrors(v.pool.Close(), v.tracer.Close(context.WithoutCancel(ctx)))
+	if err := life.run(ctx); err != nil {
+		return err
+	}
+	err := errors.CombineErrors(v.pool.Close(), v.tracer.Close(context.WithoutCancel(ctx)))
 
 	return errors.Wrap(err, "stopping the VM")
 }
--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -279,24 +279,18 @@
 
 // Run serves until ctx ends, then stops gracefully.
 func (v *StoreVM) Run(ctx context.Context) error {
-	v.logger.Log(logger.Started,
-		logger.Text("callers", v.listener.Address()),
-		logger.Text("peers", v.settings.Peers()),
-		logger.Text("operators", v.settings.Operators()))
-	start := v.timers.Now()
-	running, finish := context.WithCancel(context.WithoutCancel(ctx))
-	defer finish()
-	v.stopper.asked = ctx
-	v.stopper.finish = finish
-	err := supervisor.Run(running, v.controllers...)
-	if err != nil {
-		v.logger.Log(logger.Failed, logger.Failure(err))
-		v.lines.Flush()
-
-		return errors.Wrap(err, "running the VM")
+	defer v.lines.Flush()
+	life := &lifetime{
+		settings:    v.settings,
+		callers:     v.listener.Address(),
+		logger:      v.logger,
+		timers:      v.timers,
+		stopper:     v.stopper,
+		controllers: v.controllers,
+	}
+	if err := life.run(ctx); err != nil {
+		return err
 	}
-	v.logger.Log(logger.Stopped, logger.Millis("ran", v.timers.Now().Sub(start)))
-	v.lines.Flush()
 
 	return errors.Wrap(v.tracer.Close(context.WithoutCancel(ctx)), "stopping the VM")
 }
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -5,12 +5,12 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/dialer"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
@@ -51,7 +51,7 @@
 type pool struct {
 	timers ticker
 	bound  bounder
-	dialer net.Dialer
+	dialer *net.Dialer
 	// mu guards targets and all that they hold; it is never held during I/O.
 	mu      sync.Mutex
 	targets map[string]*endpoint
@@ -71,32 +71,17 @@
 	return &pool{
 		timers: t,
 		bound:  bound,
-		dialer: net.Dialer{
-			Timeout: dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable:   true,
-				Idle:     keepAliveIdle,
-				Interval: keepAliveInterval,
-				Count:    keepAliveProbes,
-			},
-			Control: setUserTimeout,
-		},
+		dialer: dialer.New(dialer.Spec{
+			Timeout:     dialTimeout,
+			UserTimeout: userTimeout,
+			Idle:        keepAliveIdle,
+			Interval:    keepAliveInterval,
+			Probes:      keepAliveProbes,
+		}),
 		targets: map[string]*endpoint{},
 	}
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err //nolint:wrapcheck // Reported by the dialer with the address.
-	}
-
-	return failed //nolint:wrapcheck // Reported by the dialer with the address.
-}
-
 // take returns a connection for one request, which must be kept or discarded
 // once.
 func (p *pool) take(ctx context.Context, target *manifester.Target, left time.Duration, need freshness) (*connection, handler.Fault) {
--- a/internal/gossiper/roster.go
+++ b/internal/gossiper/roster.go
@@ -33,8 +33,8 @@
 	// whole is set where the peer was heard from the beginning of its present
 	// start: then its first count of an account is use of that moment.
 	whole bool
-	loads  []Load
-	left   bool
+	loads []Load
+	left  bool
 	// told is set while the log says that the VM is heard.
 	told bool
 	// lost holds the topics, by number, of which the store does not answer it.
