Keep the locks of reports and topics apart, and bound what is kept

Cause, found by reading: a report asked each topic how far it was read while it held the gossiper's lock, and a topic passes records of the list of VMs on to the gossiper while it holds its own: each may wait for the other for ever. TestLocks failed before (20 s) and passes. Beside it: the bound of connections to a target was a constant and now follows the configuration; targets and marks of full ones are forgotten.

--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -195,6 +195,10 @@
 		},
 		v.gossiper,
 		v.placer,
+		&forgetter{
+			memory: v.estimator,
+			timers: v.timers,
+		},
 		v.transport,
 		operators,
 		v.stopper,
@@ -268,13 +272,21 @@
 	return list
 }
 
+// leastConnections is the number of connections to a target that a VM may hold
+// whatever its part is: two attempts and what is kept idle beside them.
+const leastConnections = 4
+
 // connections returns this VM's part of the connections that the whole fleet
 // may hold open to a target.
-func (v *StoreVM) connections(*manifester.Target) int {
-	const least, bound = 4, 390
+func (v *StoreVM) connections(t *manifester.Target) int {
+	name, listed := v.registrar.Service(t.Name())
+	s, declared := v.adopter.Manifest().Service(name)
+	if !listed || !declared {
+		return leastConnections
+	}
 	_, known := v.gossiper.Census()
 
-	return max(least, bound/known)
+	return max(leastConnections, s.Connections()/known)
 }
 
 // Run serves until ctx ends, then stops gracefully.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -158,7 +158,7 @@
 func (g *Gossiper) leave() {
 	now := g.spec.Clock.Now()
 	g.mu.Lock()
-	r := g.report(now)
+	r := g.report()
 	r.leaving = true
 	to := g.near(now)
 	g.mu.Unlock()
@@ -267,12 +267,13 @@
 	g.ask()
 	counts := g.spec.Tallier.Turn(now)
 	open := g.spec.Loads()
+	positions := g.positions() // Before the lock: a topic holds its own while it passes records on.
 	g.mu.Lock()
 	g.turns++
-	r := g.report(now)
+	r := g.report()
 	r.counts = counts
 	r.loads = open
-	r.positions = g.positions()
+	r.positions = positions
 	to := g.near(now)
 	if g.turns%distantTurns == 0 {
 		to = g.all()
@@ -312,7 +313,7 @@
 
 // report returns the next report with the pending evidence; the lock must be
 // held.
-func (g *Gossiper) report(timer.Instant) *Report {
+func (g *Gossiper) report() *Report {
 	r := g.brief()
 	r.evidence = g.pending
 	g.pending = nil
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -275,6 +276,7 @@
 	var silent []estimator.Key
 	var overdue []*Attempt
 	p.mu.Lock()
+	maps.DeleteFunc(p.full, func(_ estimator.Key, until timer.Instant) bool { return !now.Before(until) })
 	for a := range p.open {
 		if now.Before(a.overdue) {
 			continue
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -136,6 +136,17 @@
 	return ""
 }
 
+// Service returns the name of the service that the target belongs to, or false
+// for one that is not listed.
+func (r *Registrar) Service(id string) (string, bool) {
+	m, ok := r.table.Load().members[id]
+	if !ok {
+		return "", false
+	}
+
+	return m.entry.service, true
+}
+
 // Size returns the number of targets.
 func (r *Registrar) Size() int { return len(r.table.Load().members) }
 
