Look longer whether a target has ended

Test without the proof: two new cases of TestRefusesWhileEnding, which failed before. A look now watches a connection for 0.1 s and goes on for 0.5 s while connections end at once.

--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -40,11 +40,12 @@
 	// after a byte came on an idle one.
 	distrustTime = 30 * time.Second
 	// probeTimeout bounds a look whether a target takes connections.
-	probeTimeout = 300 * time.Millisecond
-	// probeTries bounds the connections of one look.
-	probeTries = 3
-	// probeWatch is how long a connection that was taken must stay open.
-	probeWatch = 30 * time.Millisecond
+	probeTimeout = 500 * time.Millisecond
+	// probePause is the time between two connections of one look.
+	probePause = 5 * time.Millisecond
+	// probeWatch is how long a connection that was taken must stay open. A
+	// process that ends on a busy machine needs some tens of milliseconds.
+	probeWatch = 100 * time.Millisecond
 )
 
 // pool holds the connections to all targets.
@@ -241,7 +242,7 @@
 func (p *pool) refuses(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	for range probeTries {
+	for ; ctx.Err() == nil; time.Sleep(probePause) {
 		conn, err := p.dialer.DialContext(ctx, "tcp", address)
 		if err != nil {
 			return errors.Is(err, unix.ECONNREFUSED)
--- a/internal/forwarder/probe_test.go
+++ b/internal/forwarder/probe_test.go
@@ -19,11 +19,15 @@
 		// after is how long the target lives once it took a connection; 0 is for
 		// good.
 		after time.Duration
+		// taken is the number of connections that it takes before; 0 is for one.
+		taken int
 		want  bool
 	}{
 		{name: "lives", after: 0, want: false},
 		{name: "ends at once", after: time.Nanosecond, want: true},
 		{name: "ends soon", after: 5 * time.Millisecond, want: true},
+		{name: "ends on a busy machine", after: 60 * time.Millisecond, want: true},
+		{name: "takes six connections while it ends", after: time.Nanosecond, taken: 6, want: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -31,7 +35,7 @@
 				t.Fatal(err)
 			}
 			defer ln.Close()
-			go serveOnce(ln, c.after)
+			go serveSome(ln, c.after, max(1, c.taken))
 			target := manifester.NewTarget(manifester.TargetSpec{
 				Name:    "t",
 				Address: ln.Addr().String(),
@@ -48,14 +52,18 @@
 	}
 }
 
-// serveOnce takes one connection and ends listener and connection after a time,
-// or neither.
-func serveOnce(ln net.Listener, after time.Duration) {
-	conn, err := ln.Accept()
-	if err != nil || after == 0 {
-		return
+// serveSome takes connections and ends each after a time, and the listener with
+// the last; or it ends nothing.
+func serveSome(ln net.Listener, after time.Duration, n int) {
+	for i := range n {
+		conn, err := ln.Accept()
+		if err != nil || after == 0 {
+			return
+		}
+		time.Sleep(after)
+		if i == n-1 {
+			ln.Close()
+		}
+		conn.Close()
 	}
-	time.Sleep(after)
-	ln.Close()
-	conn.Close()
 }
