Say apart what differs between front ends

One flag, which said that paths are passed on as received, also decided about answers without a length and about fractions in Retry-After.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -220,7 +220,7 @@
 		unknown = -2
 	)
 	length := resp.Header.ContentLength()
-	if length == unknown && !t.names.Verbatim() {
+	if length == unknown && !t.names.Unframed() {
 		return &truncatedError{
 			cause: &unframedError{},
 		}
--- a/internal/handler/names.go
+++ b/internal/handler/names.go
@@ -11,6 +11,8 @@
 	expectTarget string
 	notRun       string
 	verbatim     bool
+	unframed     bool
+	fractions    bool
 }
 
 // NamesSpec lists the attributes of Names. A field that is "" is not used.
@@ -34,6 +36,10 @@
 	NotRun string
 	// Verbatim paths are matched and passed on as they were received.
 	Verbatim bool
+	// Unframed answers of targets have no length and end with their connection.
+	Unframed bool
+	// Fractions of seconds may stand in the waiting time told to callers.
+	Fractions bool
 }
 
 // NewNames returns names.
@@ -47,6 +53,8 @@
 		expectTarget: s.ExpectTarget,
 		notRun:       s.NotRun,
 		verbatim:     s.Verbatim,
+		unframed:     s.Unframed,
+		fractions:    s.Fractions,
 	}
 }
 
@@ -75,6 +83,13 @@
 // Verbatim reports whether paths are matched and passed on as received.
 func (n *Names) Verbatim() bool { return n.verbatim }
 
+// Unframed reports whether an answer without a length may end with its
+// connection.
+func (n *Names) Unframed() bool { return n.unframed }
+
+// Fractions reports whether callers take a waiting time with a fraction.
+func (n *Names) Fractions() bool { return n.fractions }
+
 // OwnNames returns the names of the project's own interface.
 func OwnNames() *Names {
 	return NewNames(NamesSpec{
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -141,7 +141,7 @@
 // retryAfter renders the time that a caller should wait: whole seconds as the
 // standard has it, or with a fraction where callers take one.
 func (l *Listener) retryAfter(w time.Duration) string {
-	if l.names.Verbatim() {
+	if l.names.Fractions() {
 		return strconv.FormatFloat(w.Seconds(), 'f', retryDigits, 64)
 	}
 
