--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,17 @@
 // and is ignored.
 const peerReportDelay = 1500 * time.Millisecond
 
+// maxTargets bounds the targets that are kept; more than the whole fleet has.
+const maxTargets = 200_000
+
+// ListFullError reports an entry that was skipped because the list has maxTargets targets.
+type ListFullError struct{}
+
+// Error implements error.
+func (e *ListFullError) Error() string {
+	return fmt.Sprintf("the list already has %d targets; remove entries that name no target", maxTargets)
+}
+
 // Entry is the entry of a target in the store's list.
 type Entry struct {
 	target   *manifester.Target
@@ -102,8 +114,11 @@
 	decode decode
 	logger *logger.Logger
 	table  atomic.Pointer[table]
-	// mu serializes changes.
+	// mu serializes changes and guards the fields that are not atomic.
 	mu sync.Mutex
+	// skipped holds the offset of each skipped entry, so that an entry that is read again
+	// is logged once; at most maxTargets.
+	skipped map[string]subscriber.Offset
 	// loaded is set once the list has been read.
 	loaded atomic.Bool
 	// storeLostAt is when the store stopped answering this VM; 0 while it answers.
@@ -120,8 +135,9 @@
 // New returns a registrar without targets.
 func New(d decode, l *logger.Logger) *Registrar {
 	r := &Registrar{
-		decode: d,
-		logger: l,
+		decode:  d,
+		logger:  l,
+		skipped: map[string]subscriber.Offset{},
 	}
 	r.table.Store(&table{})
 
@@ -245,16 +261,21 @@
 
 func (r *Registrar) apply(now timer.Instant, members map[string]*Member, x subscriber.Record) {
 	if x.Removed() {
+		delete(r.skipped, x.Key())
 		r.remove(now, members, x.Key())
 
 		return
 	}
 	entry, err := r.decode(x.Key(), x.Value())
+	if err == nil && !entry.draining && len(members) >= maxTargets && members[x.Key()] == nil {
+		err = &ListFullError{}
+	}
 	if err != nil {
-		r.logger.Log(logger.TargetSkipped, logger.Text("target", x.Key()), logger.Int("offset", int64(x.Offset())), logger.Failure(err))
+		r.skip(x, err)
 
 		return
 	}
+	delete(r.skipped, x.Key())
 	if entry.draining {
 		r.drop(members, x.Key(), "draining")
 
@@ -263,6 +284,17 @@
 	r.put(now, members, entry)
 }
 
+// skip logs an entry that cannot be used, once for each change of it.
+func (r *Registrar) skip(x subscriber.Record, err error) {
+	if offset, known := r.skipped[x.Key()]; known && offset == x.Offset() {
+		return
+	}
+	if len(r.skipped) < maxTargets {
+		r.skipped[x.Key()] = x.Offset()
+	}
+	r.logger.Log(logger.TargetSkipped, logger.Text("target", x.Key()), logger.Int("offset", int64(x.Offset())), logger.Failure(err))
+}
+
 func (r *Registrar) put(now timer.Instant, members map[string]*Member, entry *Entry) {
 	id := entry.target.Name()
 	old, known := members[id]
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -133,3 +133,25 @@
 	}
 	goldie.New(t).Assert(t, "partition", out.Bytes())
 }
+
+// TestSkippedEntries checks that an entry that cannot be decoded is logged once for each
+// change of it, however often the list is read, and that the other targets stay in use.
+func TestSkippedEntries(t *testing.T) {
+	var log, out bytes.Buffer
+	r := registrar.New(decode, logger.New(&log, logger.FormatLogfmt, "vm-1"))
+	for _, list := range []struct {
+		title   string
+		records []subscriber.Record
+	}{
+		{"first read", []subscriber.Record{subscriber.NewRecord("a", []byte("bookings ready 1"), 1), subscriber.NewRecord("b", []byte("?"), 2)}},
+		{"read again", []subscriber.Record{subscriber.NewRecord("a", []byte("bookings ready 1"), 1), subscriber.NewRecord("b", []byte("?"), 2)}},
+		{"changed", []subscriber.Record{subscriber.NewRecord("a", []byte("bookings ready 1"), 1), subscriber.NewRecord("b", []byte("??"), 3)}},
+		{"valid", []subscriber.Record{subscriber.NewRecord("a", []byte("bookings ready 1"), 1), subscriber.NewRecord("b", []byte("bookings ready 1"), 4)}},
+		{"invalid again", []subscriber.Record{subscriber.NewRecord("a", []byte("bookings ready 1"), 1), subscriber.NewRecord("b", []byte("?"), 5)}},
+	} {
+		log.Reset()
+		r.Replace(timer.Instant(time.Hour), list.records)
+		fmt.Fprintf(&out, "%s: %d targets, %d entries logged as skipped\n", list.title, len(r.Members("bookings")), strings.Count(log.String(), "target-skipped"))
+	}
+	goldie.New(t).Assert(t, "skipped", out.Bytes())
+}
