Send nothing to targets that leave or ask for a pause

Cause: a target states in its responses that it is about to stop, and in a 503 for how long it wants no requests; both were ignored. A VM that the store or other VMs could not reach went on sending to a target that left. Change: the dialect names both fields. The registrar drops the start of the target for good, the placer pauses the target for the stated time (5 minutes at most), other VMs are told at once; a refusal for lack of targets states the remaining time. A target that is no longer listed is logged.

--- a/internal/assembler/store_gossip.go
+++ b/internal/assembler/store_gossip.go
@@ -11,6 +11,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/gossiper"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
 	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
 // addGossip builds the parts that exchange state with other VMs or depend on that
@@ -26,6 +27,7 @@
 		Clock:      v.timers,
 		Tallier:    v.tallier,
 		Estimator:  v.estimator,
+		Notices:    v,
 		Quarantine: v.quarantine,
 		Loads:      v.loads,
 		Logger:     v.logger,
@@ -37,6 +39,7 @@
 		Risks:       v.estimator,
 		Observer:    v.estimator,
 		Reporter:    v.gossiper,
+		Leaving:     v.registrar,
 		RemoteLoad:  v.gossiper,
 		Clock:       v.timers,
 		Degraded:    v.watcher.Degraded,
@@ -54,6 +57,15 @@
 	return list
 }
 
+// ObserveNotice applies what a target stated about itself to another VM.
+func (v *StoreVM) ObserveNotice(now timer.Instant, k estimator.Key, o estimator.Outcome) {
+	if o == estimator.OutcomeLeaving {
+		v.registrar.MarkLeaving(now, k)
+	} else {
+		v.placer.NoteFull(now, k)
+	}
+}
+
 // reportCodec encodes and decodes reports.
 type reportCodec struct{}
 
--- a/internal/assembler/store_operators.go
+++ b/internal/assembler/store_operators.go
@@ -41,9 +41,11 @@
 }
 
 // removeStale removes the latency metrics of routes that are not configured and of
-// targets that the store does not list, and the risks of targets without recent evidence.
+// targets that the store does not list, the risks of targets without recent evidence, and
+// the marks of targets that left long ago.
 func (v *StoreVM) removeStale(now timer.Instant) {
 	v.estimator.Forget(now)
+	v.registrar.Forget(now)
 	v.meter.Keep(func(route string) bool {
 		_, ok := v.adopter.Manifest().Route(route)
 
--- a/internal/estimator/outcome.go
+++ b/internal/estimator/outcome.go
@@ -22,6 +22,10 @@
 	// OutcomeErred is a failure response that came late enough for the target to have
 	// processed the request, so that the request itself may be the cause.
 	OutcomeErred
+	// OutcomeLeaving is a response by which the target states that it is about to stop.
+	OutcomeLeaving
+	// OutcomeFull is a refusal by a target that has no capacity for the request.
+	OutcomeFull
 )
 
 // String returns the outcome's name.
@@ -41,6 +45,10 @@
 		return "gone"
 	case OutcomeErred:
 		return "erred"
+	case OutcomeLeaving:
+		return "leaving"
+	case OutcomeFull:
+		return "full"
 	default:
 		return "none"
 	}
@@ -50,11 +58,16 @@
 func Outcomes() []Outcome {
 	return []Outcome{
 		OutcomeServed, OutcomeFailed, OutcomeBroken, OutcomeSilent, OutcomeUnreachable, OutcomeGone, OutcomeErred,
+		OutcomeLeaving, OutcomeFull,
 	}
 }
 
 // Valid reports whether the outcome is known.
-func (o Outcome) Valid() bool { return o >= OutcomeServed && o <= OutcomeErred }
+func (o Outcome) Valid() bool { return o >= OutcomeServed && o <= OutcomeFull }
+
+// Notice reports whether the outcome is a statement of the target about itself. It is no
+// evidence about the risk of the target.
+func (o Outcome) Notice() bool { return o == OutcomeLeaving || o == OutcomeFull }
 
 // likelihood holds how likely an outcome is at a working and at a failing target. Only
 // the ratio of the two counts, so the likelihoods of all outcomes need not add up to 1.
--- a/internal/filterer/place.go
+++ b/internal/filterer/place.go
@@ -12,7 +12,7 @@
 )
 
 // maxNoTargetWait is the maximum Retry-After of a request for which no target is
-// left; the minimum is half of it.
+// left; the minimum is half of it. The time for which all targets are paused is added.
 const maxNoTargetWait = time.Second
 
 type targetPlacer interface {
@@ -21,6 +21,9 @@
 	Begin(now timer.Instant, s placer.AttemptSpec) (*placer.Attempt, bool)
 	// End ends the attempt. It must be called once for each attempt.
 	End(now timer.Instant, a *placer.Attempt, r placer.Result)
+	// Wait returns the time until a target of the service may get an attempt again,
+	// if all of them are paused; otherwise 0.
+	Wait(now timer.Instant, service string) time.Duration
 }
 
 // attemptMeter records the duration of attempts by target.
@@ -64,7 +67,8 @@
 		Abandon:     func() { cancel(handler.ErrAbandoned) },
 	})
 	if !ok {
-		wait := maxNoTargetWait/2 + rand.N(maxNoTargetWait/2) //nolint:gosec // The jitter spreads callers' retries and needs no cryptographic randomness.
+		jitter := maxNoTargetWait/2 + rand.N(maxNoTargetWait/2) //nolint:gosec // The jitter spreads callers' retries and needs no cryptographic randomness.
+		wait := p.placer.Wait(begun, x.Service().Name()) + jitter
 
 		return handler.NewRefusal(handler.CodeNoTarget, "no target of the service can take the request").WithRetryAfter(wait)
 	}
@@ -85,7 +89,10 @@
 
 // placementResult returns what the result of an attempt implies about its target.
 func placementResult(a *handler.Attempt) placer.Result {
-	r := placer.Result{}
+	r := placer.Result{
+		Leaving: a.Leaving(),
+		Rest:    a.RetryAfter(),
+	}
 	switch a.Fault() {
 	case handler.FaultNone:
 		r.Outcome = estimator.OutcomeServed
--- a/internal/forwarder/codec.go
+++ b/internal/forwarder/codec.go
@@ -1,10 +1,13 @@
 package forwarder
 
 import (
+	"math"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
@@ -19,6 +22,9 @@
 	stateDraining   = "draining"
 	connectionField = "Connection"
 	hostField       = "Host"
+	// maxRetryAfter bounds the time for which a target gets no requests because it
+	// asked for none.
+	maxRetryAfter = 5 * time.Minute
 )
 
 // buildRequest builds the request to the target. Its path is the one by which the
@@ -84,6 +90,34 @@
 	return d.Signature() != "" && s >= fasthttp.StatusOK && s < fasthttp.StatusMultipleChoices && len(resp.Header.Peek(d.Signature())) == 0
 }
 
+// isLeaving reports whether the target states that it is about to stop.
+func isLeaving(d *handler.Dialect, resp *fasthttp.Response) bool {
+	return d.Leaving() != "" && string(resp.Header.Peek(d.Leaving())) == "1"
+}
+
+// retryAfter returns for how long a target that refuses requests with 503 wants none;
+// 0 if it does not state a time, and maxRetryAfter at most. The field holds seconds,
+// which may have a fraction, or a date.
+func retryAfter(d *handler.Dialect, resp *fasthttp.Response, now time.Time) time.Duration {
+	if d.RetryAfter() == "" || resp.StatusCode() != fasthttp.StatusServiceUnavailable {
+		return 0
+	}
+	text := strings.TrimSpace(string(resp.Header.Peek(d.RetryAfter())))
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		date, err := http.ParseTime(text)
+		if err != nil {
+			return 0
+		}
+		seconds = date.Sub(now).Seconds()
+	}
+	if math.IsNaN(seconds) || seconds <= 0 {
+		return 0
+	}
+
+	return time.Duration(math.Min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // copyResponse copies a complete response, without hop-by-hop fields and
 // handler.OutcomeField, out of the buffers that its connection reuses.
 func copyResponse(resp *fasthttp.Response) *handler.Response {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -173,7 +173,12 @@
 		c.finish()
 	}
 
-	return t.completed(x.Target(), resp).SetTiming(firstByte, c.reused)
+	a := t.completed(x.Target(), resp).SetTiming(firstByte, c.reused)
+	if a.Fault() == handler.FaultMisdirected {
+		return a // The fields are those of another target.
+	}
+
+	return a.SetNotice(isLeaving(t.dialect, resp), retryAfter(t.dialect, resp, time.Now()))
 }
 
 func writeRequest(c *connection, req *fasthttp.Request) error {
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -70,6 +70,11 @@
 	Merge(now timer.Instant, list []estimator.Estimate)
 }
 
+// noticeObserver receives what targets stated about themselves to other VMs.
+type noticeObserver interface {
+	ObserveNotice(now timer.Instant, k estimator.Key, o estimator.Outcome)
+}
+
 // quarantine refuses requests that crash targets.
 type quarantine interface {
 	// Apply takes in a mark from another VM.
@@ -107,6 +112,7 @@
 	Clock      clock
 	Tallier    *tallier.Tallier
 	Estimator  riskEstimator
+	Notices    noticeObserver
 	Quarantine quarantine
 	Loads      loadFunc
 	Logger     *logger.Logger
@@ -186,7 +192,8 @@
 // ReportOutcome reports an attempt of this VM to the others. A served attempt waits for
 // the next regular report, and is dropped where maxEvidence attempts wait
 // already. Any other outcome is sent at once, as the other VMs may be about to
-// choose the same target.
+// choose the same target. A target that is about to stop is reported twice, because the
+// others may never send it a request that would show it to them.
 func (g *Gossiper) ReportOutcome(k estimator.Key, o estimator.Outcome) {
 	now := g.spec.Clock.Now()
 	e := NewEvidence(k, o)
@@ -199,6 +206,9 @@
 
 		return
 	}
+	if o == estimator.OutcomeLeaving && len(g.pendingEvidence) < maxEvidence {
+		g.pendingEvidence = append(g.pendingEvidence, e)
+	}
 	r := g.newReport()
 	r.evidence = []Evidence{e}
 	to := g.recentPeers(now)
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -52,7 +52,11 @@
 		g.spec.Tallier.AddRemote(now, u.account, u.requested, u.used)
 	}
 	for _, e := range r.evidence {
-		g.spec.Estimator.ObserveRemote(now, e.target, e.outcome)
+		if e.outcome.Notice() {
+			g.spec.Notices.ObserveNotice(now, e.target, e.outcome)
+		} else {
+			g.spec.Estimator.ObserveRemote(now, e.target, e.outcome)
+		}
 	}
 	for _, m := range r.marks {
 		g.spec.Quarantine.Apply(m)
--- a/internal/handler/attempt.go
+++ b/internal/handler/attempt.go
@@ -66,6 +66,11 @@
 	// response, or to the end of the attempt if the response was not read to its
 	// end; 0 if nothing was sent.
 	firstByte time.Duration
+	// leaving is set if the target reported that it is about to stop.
+	leaving bool
+	// retryAfter is for how long the target wants no requests from this VM; 0 if it
+	// did not state a time.
+	retryAfter time.Duration
 	// reused is set if the connection had carried an earlier request.
 	reused bool
 }
@@ -98,6 +103,21 @@
 	return a
 }
 
+// SetNotice sets whether the target reported that it is about to stop, and for how
+// long it wants no requests, or 0. It modifies the attempt and returns it.
+func (a *Attempt) SetNotice(leaving bool, retryAfter time.Duration) *Attempt {
+	a.leaving = leaving
+	a.retryAfter = retryAfter
+
+	return a
+}
+
+// Leaving reports whether the target stated that it is about to stop.
+func (a *Attempt) Leaving() bool { return a.leaving }
+
+// RetryAfter returns for how long the target wants no requests from this VM, or 0.
+func (a *Attempt) RetryAfter() time.Duration { return a.retryAfter }
+
 // Target returns the target of the attempt.
 func (a *Attempt) Target() *manifester.Target { return a.target }
 
--- a/internal/handler/dialect.go
+++ b/internal/handler/dialect.go
@@ -11,6 +11,8 @@
 	signature    string
 	expectTarget string
 	notRun       string
+	leaving      string
+	retryAfter   string
 	verbatim     bool
 	unframed     bool
 	fractions    bool
@@ -38,6 +40,12 @@
 	// NotRun names the field by which a target reports that it did not run the
 	// request.
 	NotRun string
+	// Leaving names the field with the value "1" in every response of a target that
+	// is about to stop and must get no further requests.
+	Leaving string
+	// RetryAfter names the field in which a target that refuses a request with 503
+	// states for how long it wants no requests from this VM.
+	RetryAfter string
 	// Verbatim is set if paths are matched and forwarded as received.
 	Verbatim bool
 	// Unframed is set if a target's response without a length is accepted and
@@ -58,6 +66,8 @@
 		signature:    s.Signature,
 		expectTarget: s.ExpectTarget,
 		notRun:       s.NotRun,
+		leaving:      s.Leaving,
+		retryAfter:   s.RetryAfter,
 		verbatim:     s.Verbatim,
 		unframed:     s.Unframed,
 		fractions:    s.Fractions,
@@ -88,6 +98,14 @@
 // not run the request, or "".
 func (d *Dialect) NotRun() string { return d.notRun }
 
+// Leaving returns the name of the field by which a target reports that it is
+// about to stop, or "".
+func (d *Dialect) Leaving() string { return d.leaving }
+
+// RetryAfter returns the name of the field by which a target that refuses a
+// request states for how long it wants no requests, or "".
+func (d *Dialect) RetryAfter() string { return d.retryAfter }
+
 // Verbatim reports whether paths are matched and forwarded as received.
 func (d *Dialect) Verbatim() bool { return d.verbatim }
 
@@ -102,7 +120,8 @@
 // DefaultDialect returns the Dialect of lagoonkeel's own HTTP interface.
 func DefaultDialect() *Dialect {
 	return NewDialect(DialectSpec{
-		Key:     "Lagoonkeel-Key",
-		Timeout: "Lagoonkeel-Timeout-Ms",
+		Key:        "Lagoonkeel-Key",
+		Timeout:    "Lagoonkeel-Timeout-Ms",
+		RetryAfter: "Retry-After",
 	})
 }
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -57,7 +57,7 @@
 	TargetReduced       = Event{number: 501, level: LevelInfo, name: "target-reduced", meaning: "A target gets only a part of its usual requests."}
 	TargetReturned      = Event{number: 502, level: LevelInfo, name: "target-returned", meaning: "A target gets all its usual requests again, after a warm-up if it was ejected."}
 	TargetListed        = Event{number: 504, level: LevelInfo, name: "target-listed", meaning: "The store lists a new or restarted target, which can get requests."}
-	TargetGone          = Event{number: 505, level: LevelInfo, name: "target-gone", meaning: "The store no longer lists a target, or lists it as draining; it gets no new requests."}
+	TargetGone          = Event{number: 505, level: LevelInfo, name: "target-gone", meaning: "The store no longer lists a target, or lists it as draining, or the target stated that it is about to stop; it gets no new requests."}
 	TargetSkipped       = Event{number: 506, level: LevelWarn, name: "target-skipped", meaning: "An entry of the store's target list is not valid and is ignored; the other entries stay in use."}
 	TargetSuspected     = Event{number: 507, level: LevelWarn, name: "target-suspected", meaning: "The evidence of the fleet indicates that the target probably fails; it gets requests only where no better target is left."}
 	TargetTrusted       = Event{number: 508, level: LevelInfo, name: "target-trusted", meaning: "The evidence of the fleet indicates that the target probably works."}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -52,6 +52,12 @@
 	ReportOutcome(k estimator.Key, o estimator.Outcome)
 }
 
+// leavingMarker removes targets that are about to stop from the list.
+type leavingMarker interface {
+	// MarkLeaving reports whether the target was not marked before.
+	MarkLeaving(now timer.Instant, k estimator.Key) bool
+}
+
 // remoteLoad holds the load that the other VMs put on targets.
 type remoteLoad interface {
 	// OpenRequests returns the number of open attempts of the other VMs at the target.
@@ -70,6 +76,7 @@
 	Risks      riskSource
 	Observer   outcomeObserver
 	Reporter   outcomeReporter
+	Leaving    leavingMarker
 	RemoteLoad remoteLoad
 	Clock      clock
 	// Degraded reports whether too many of the service's requests are not served.
@@ -115,6 +122,8 @@
 	// fullUntil holds the instants until which targets without capacity get no
 	// attempts.
 	fullUntil map[estimator.Key]timer.Instant
+	// restUntil holds the instants until which targets asked this VM for no attempts.
+	restUntil map[estimator.Key]timer.Instant
 	// routeLatencies are keyed by route, and serviceLatencies by service.
 	routeLatencies   map[string]*latency
 	serviceLatencies map[string]*latency
@@ -136,6 +145,7 @@
 		open:             map[*Attempt]struct{}{},
 		openPerTarget:    map[estimator.Key]int{},
 		fullUntil:        map[estimator.Key]timer.Instant{},
+		restUntil:        map[estimator.Key]timer.Instant{},
 		routeLatencies:   map[string]*latency{},
 		serviceLatencies: map[string]*latency{},
 	}
@@ -204,13 +214,13 @@
 }
 
 // candidates returns the targets that may be chosen: those that are listed, have not
-// been tried and were not without capacity lately.
+// been tried, were not without capacity lately and did not ask for a pause.
 func (p *Placer) candidates(now timer.Instant, c AttemptSpec) []candidate {
 	members := p.spec.Targets.Members(c.Service)
 	list := make([]candidate, 0, len(members))
 	for _, m := range members {
 		t := m.Target()
-		if !m.Listed(now) || slices.Contains(c.Tried, t.Name()) || now.Before(p.fullUntil[m.Key()]) {
+		if !m.Listed(now) || slices.Contains(c.Tried, t.Name()) || now.Before(p.pauseEnd(m.Key())) {
 			continue
 		}
 		slots := float64(t.Slots())
@@ -234,6 +244,44 @@
 	return list
 }
 
+// pauseEnd returns the instant until which the target gets no attempts; the lock must be
+// held.
+func (p *Placer) pauseEnd(k estimator.Key) timer.Instant {
+	return max(p.fullUntil[k], p.restUntil[k])
+}
+
+// Wait returns the time until the first target of the service may get an attempt again;
+// 0 where one may now or where the service has no target.
+func (p *Placer) Wait(now timer.Instant, service string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := timer.Instant(0)
+	for _, m := range p.spec.Targets.Members(service) {
+		end := p.pauseEnd(m.Key())
+		if !m.Listed(now) {
+			continue
+		}
+		if !now.Before(end) {
+			return 0
+		}
+		if first == 0 || end.Before(first) {
+			first = end
+		}
+	}
+	if first == 0 {
+		return 0
+	}
+
+	return first.Sub(now)
+}
+
+// NoteFull records that a target had no capacity for a request of another VM.
+func (p *Placer) NoteFull(now timer.Instant, k estimator.Key) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fullUntil[k] = now.Add(fullBackoff)
+}
+
 // Each calls f with the name and the counter of each outcome of attempts.
 func (p *Placer) Each(f func(name string, c metrics.Counter)) {
 	for o, c := range p.outcomes {
@@ -247,6 +295,10 @@
 	Outcome estimator.Outcome
 	// Full is set where the target had no capacity for the request.
 	Full bool
+	// Leaving is set where the target stated that it is about to stop.
+	Leaving bool
+	// Rest is for how long the target asked this VM for no attempts; 0 where it did not.
+	Rest time.Duration
 }
 
 // End closes the attempt and reports its outcome, unless checkOverdue has reported the
@@ -261,6 +313,9 @@
 	} else {
 		delete(p.fullUntil, k)
 	}
+	if r.Rest > 0 {
+		p.restUntil[k] = max(p.restUntil[k], now.Add(r.Rest))
+	}
 	took, l := now.Sub(a.started), latencyOf(p.routeLatencies, a.route)
 	switch {
 	case r.Outcome == estimator.OutcomeServed:
@@ -278,6 +333,17 @@
 		p.spec.Observer.Observe(now, k, r.Outcome)
 		p.spec.Reporter.ReportOutcome(k, r.Outcome)
 	}
+	p.reportNotices(now, k, r)
+}
+
+// reportNotices tells the other VMs what the target stated about itself.
+func (p *Placer) reportNotices(now timer.Instant, k estimator.Key, r Result) {
+	if r.Leaving && p.spec.Leaving.MarkLeaving(now, k) {
+		p.spec.Reporter.ReportOutcome(k, estimator.OutcomeLeaving)
+	}
+	if r.Rest > 0 {
+		p.spec.Reporter.ReportOutcome(k, estimator.OutcomeFull)
+	}
 }
 
 func decrement[K comparable](counts map[K]int, k K) {
@@ -286,6 +352,11 @@
 	}
 }
 
+// deletePast removes the instants that have come.
+func deletePast(now timer.Instant, until map[estimator.Key]timer.Instant) {
+	maps.DeleteFunc(until, func(_ estimator.Key, t timer.Instant) bool { return !now.Before(t) })
+}
+
 // OpenAttempts calls f with the number of open attempts at each target that has some.
 func (p *Placer) OpenAttempts(f func(k estimator.Key, open int)) {
 	p.mu.Lock()
@@ -301,7 +372,8 @@
 	var silent []estimator.Key
 	var abandonable []*Attempt
 	p.mu.Lock()
-	maps.DeleteFunc(p.fullUntil, func(_ estimator.Key, until timer.Instant) bool { return !now.Before(until) })
+	deletePast(now, p.fullUntil)
+	deletePast(now, p.restUntil)
 	for a := range p.open {
 		if now.Before(a.overdue) {
 			continue
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,10 @@
 // and is ignored.
 const peerReportDelay = 1500 * time.Millisecond
 
+// leavingRetention is how long a target that is about to stop is remembered once its
+// entry was last seen.
+const leavingRetention = time.Hour
+
 // maxTargets bounds the targets that are kept; more than the whole fleet has.
 const maxTargets = 200_000
 
@@ -119,6 +124,10 @@
 	// skipped holds the offset of each skipped entry, so that an entry that is read again
 	// is logged once; at most maxTargets.
 	skipped map[string]subscriber.Offset
+	// leaving holds the starts of targets that stated that they are about to stop, with
+	// the instant at which each was last marked or listed. A list entry of such a start is
+	// ignored, whatever state it names.
+	leaving map[estimator.Key]timer.Instant
 	// loaded is set once the list has been read.
 	loaded atomic.Bool
 	// storeLostAt is when the store stopped answering this VM; 0 while it answers.
@@ -138,6 +147,7 @@
 		decode:  d,
 		logger:  l,
 		skipped: map[string]subscriber.Offset{},
+		leaving: map[estimator.Key]timer.Instant{},
 	}
 	r.table.Store(&table{})
 
@@ -228,8 +238,8 @@
 	return true
 }
 
-// Update applies records in the order of their offsets, and deletes, without a log line,
-// members that are no longer listed.
+// Update applies records in the order of their offsets, and removes members that are no
+// longer listed.
 func (r *Registrar) Update(now timer.Instant, records []subscriber.Record) {
 	if len(records) == 0 {
 		return
@@ -242,10 +252,38 @@
 	}
 	for id, m := range members {
 		if !m.Listed(now) {
-			delete(members, id)
+			r.drop(members, id, "removed")
+		}
+	}
+	r.publish(members)
+}
+
+// MarkLeaving removes the start of a target that stated that it is about to stop, until
+// the target starts again. It reports whether the start was not marked before.
+func (r *Registrar) MarkLeaving(now timer.Instant, k estimator.Key) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, marked := r.leaving[k]
+	if marked || len(r.leaving) >= maxTargets {
+		return false
+	}
+	r.leaving[k] = now
+	members := r.copyMembers()
+	for id, m := range members {
+		if m.key == k {
+			r.drop(members, id, "leaving")
 		}
 	}
 	r.publish(members)
+
+	return true
+}
+
+// Forget removes the marks of targets that left long ago.
+func (r *Registrar) Forget(now timer.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.leaving, func(_ estimator.Key, seen timer.Instant) bool { return now.Sub(seen) > leavingRetention })
 }
 
 // copyMembers returns a copy of the members.
@@ -303,6 +341,11 @@
 		key:       estimator.Key(hasher.Sum(id, strconv.FormatInt(entry.startedMillis, 10))),
 		warmUpEnd: now.Add(entry.warmUp),
 	}
+	if _, leaving := r.leaving[m.key]; leaving {
+		r.leaving[m.key] = now
+
+		return // A later start of the target, if there is one, stays listed.
+	}
 	if !known || old.entry.startedMillis != entry.startedMillis {
 		r.logger.Log(logger.TargetListed, logger.Text("target", id), logger.Text("service", entry.service),
 			logger.Text("dataCentre", entry.target.DataCentre()), logger.Millis("cold", entry.warmUp))
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -155,3 +155,48 @@
 	}
 	goldie.New(t).Assert(t, "skipped", out.Bytes())
 }
+
+// TestLeaving compares the listed targets with the golden transcript: a start of a target
+// that stated that it is about to stop stays out whatever its entry says, until it is
+// forgotten long after its entry was last seen.
+func TestLeaving(t *testing.T) {
+	var out bytes.Buffer
+	r := registrar.New(decode, logger.Discard())
+	now := timer.Instant(time.Hour)
+	ready := func(id string, started int) subscriber.Record {
+		return subscriber.NewRecord(id, fmt.Appendf(nil, "bookings ready %d", started), 1)
+	}
+	show := func(title string) {
+		fmt.Fprintf(&out, "%s:", title)
+		for _, m := range r.Members("bookings") {
+			fmt.Fprintf(&out, " %s/%d", m.Target().Name(), m.Key()%1000)
+		}
+		fmt.Fprintln(&out)
+	}
+	r.Replace(now, []subscriber.Record{ready("a", 1), ready("b", 1)})
+	show("listed")
+	leaving := r.Members("bookings")[0].Key()
+	fmt.Fprintf(&out, "new mark: %v, again: %v\n", r.MarkLeaving(now, leaving), r.MarkLeaving(now, leaving))
+	show("marked")
+	r.Update(now, []subscriber.Record{ready("a", 1)})
+	show("its entry says ready")
+	r.StoreLost(now)
+	r.StoreReached(now.Add(time.Second))
+	r.Replace(now, []subscriber.Record{ready("a", 1), ready("b", 1)})
+	show("the store was lost and is back")
+	r.Update(now, []subscriber.Record{subscriber.NewRecord("a", nil, 2)})
+	r.Update(now, []subscriber.Record{ready("a", 1)})
+	show("removed and listed again")
+	r.Update(now, []subscriber.Record{ready("a", 2)})
+	show("started again")
+	r.Update(now, []subscriber.Record{ready("a", 1)})
+	show("a late entry of the earlier start")
+	r.Forget(now.Add(30 * time.Minute))
+	r.Update(now, []subscriber.Record{ready("a", 1)})
+	show("half an hour later")
+	now = now.Add(2 * time.Hour)
+	r.Forget(now)
+	r.Update(now, []subscriber.Record{ready("a", 1)})
+	show("two hours after its last entry")
+	goldie.New(t).Assert(t, "leaving", out.Bytes())
+}
