Serve pipelined requests and large bodies within bounds

Cause: (1) The watcher of a request stopped at the first byte of a further one, so that a caller that left was not noticed, and its further requests ran. (2) A response that closed the connection was followed by a reset where further requests waited, and one that was begun before the stop did not close it. (3) A response without an end was read with 67 MB of allocations; nothing bounded the bodies of all requests together. (4) The response of a target that had not read the whole body was only read once the body was written. Change: the watcher reads and keeps up to 64 KiB of further requests. The listener closes connections itself: after a response it discards what still comes for a second; at a stop it accepts the waiting connections and lets idle ones end at a point where no byte of a request was read. Bodies above 16 KiB are read into memory that a reserver limits to a quarter of the VM's (setting memoryMB); a request that finds none is refused as not run. A request with a large body is written while its response is awaited; its connection is closed unless the whole body was written. Bodies do not stream to targets: a request may go to another target only if it is still held.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -83,7 +83,7 @@
 	if err := addTargetSelection(v); err != nil {
 		return nil, err
 	}
-	v.transport = forwarder.NewTransport(v.timers, handler.DefaultDialect(), v.connections)
+	v.transport = forwarder.NewTransport(v.timers, handler.DefaultDialect(), v.bodies, v.connections)
 	if err := addConfiguration(v); err != nil {
 		return nil, err
 	}
--- a/internal/assembler/caller_limits.go
+++ b/internal/assembler/caller_limits.go
@@ -30,6 +30,7 @@
 			source: source,
 		},
 		Dialect: d,
+		Memory:  p.bodies,
 		Clock:   p.timers,
 	})
 }
--- a/internal/assembler/process.go
+++ b/internal/assembler/process.go
@@ -11,6 +11,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/meter"
+	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/internal/tracer"
@@ -23,6 +24,8 @@
 	timers   *timer.Service
 	meter    *meter.Meter
 	tracer   *tracer.Tracer
+	// bodies limits the memory that the bodies of requests and responses hold.
+	bodies *reserver.Reserver
 	// transport holds the connections to targets.
 	transport *forwarder.Transport
 	listener  *listener.Listener
@@ -45,6 +48,7 @@
 		timers:   timer.NewService(),
 		meter:    meter.New(),
 		tracer:   t,
+		bodies:   reserver.New(s.BodyMemory()),
 	}, nil
 }
 
--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -77,7 +77,7 @@
 		return nil, errors.Wrapf(err, "listening on %s; is another process using it?", s.Peers())
 	}
 	v.addGossip(reports)
-	v.transport = forwarder.NewTransport(v.timers, v.dialect, v.connections)
+	v.transport = forwarder.NewTransport(v.timers, v.dialect, v.bodies, v.connections)
 	callers, err := bind(s.Callers())
 	if err != nil {
 		return nil, err
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -11,6 +11,14 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 )
 
+const (
+	// defaultMemory is the assumed memory of a VM.
+	defaultMemory = 512 << 20
+	// bodyMemoryDivisor leaves memory for connections, and for the garbage collector,
+	// which frees a body some time after its last use.
+	bodyMemoryDivisor = 4
+)
+
 // DefaultRetention is the assumed retention of the log.
 const DefaultRetention = 24 * time.Hour
 
@@ -42,6 +50,8 @@
 	retention time.Duration
 	// maxBody is the largest size of a request's body in bytes.
 	maxBody int
+	// memory is the memory in bytes that the process may use; 0 if it is not known.
+	memory int64
 	// stopGrace is how long a stopping VM continues to serve after it reports that it
 	// is not ready.
 	stopGrace time.Duration
@@ -108,6 +118,8 @@
 	// Retention is optional; 0 means DefaultRetention.
 	Retention time.Duration
 	MaxBody   int
+	// Memory is optional; 0 means that it is not known.
+	Memory    int64
 	StopGrace time.Duration
 	LogFormat logger.Format
 	Tracing   Tracing
@@ -131,6 +143,7 @@
 		metrics:    s.Metrics,
 		retention:  cmp.Or(s.Retention, DefaultRetention),
 		maxBody:    s.MaxBody,
+		memory:     s.Memory,
 		stopGrace:  s.StopGrace,
 		logFormat:  s.LogFormat,
 		tracing:    s.Tracing,
@@ -187,6 +200,13 @@
 // MaxBody returns the largest size of a request's body in bytes.
 func (s *Settings) MaxBody() int { return s.maxBody }
 
+// BodyMemory returns the number of bytes that the bodies of all requests and responses
+// together may hold at any time. It has room for a request with the largest body and its
+// response.
+func (s *Settings) BodyMemory() int64 {
+	return max(cmp.Or(s.memory, defaultMemory)/bodyMemoryDivisor, 2*int64(s.maxBody))
+}
+
 // StopGrace returns how long a stopping VM continues to serve after it reports that it
 // is not ready.
 func (s *Settings) StopGrace() time.Duration { return s.stopGrace }
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -14,6 +14,9 @@
 
 const (
 	defaultMaxBody = 1 << 20
+	minMemoryMB    = 32
+	maxMemoryMB    = 1 << 20
+	bytesPerMB     = 1 << 20
 	largestMaxBody = 64 << 20
 	// defaultStopGrace is long enough for a load balancer that probes every second
 	// and removes a VM after three failed probes.
@@ -41,6 +44,7 @@
 		Region:     r.nonEmptyText("region"),
 		StopGrace:  r.duration("stopGraceMs", defaultStopGrace, 0, maxStopGrace),
 		MaxBody:    int(r.integer("maxBodyBytes", defaultMaxBody, 1, largestMaxBody)),
+		Memory:     r.integer("memoryMB", 0, minMemoryMB, maxMemoryMB) * bytesPerMB,
 		LogFormat:  logger.Format(r.choice("logFormat", string(logger.FormatLogfmt), string(logger.FormatJSON))),
 	}
 	r.object("listen", func(o *reader) {
--- a/internal/filterer/place.go
+++ b/internal/filterer/place.go
@@ -109,7 +109,7 @@
 		r.Outcome = estimator.OutcomeSilent
 	case handler.FaultReset, handler.FaultTruncated, handler.FaultMalformed:
 		r.Outcome = estimator.OutcomeBroken
-	case handler.FaultConnectionLimit, handler.FaultStale, handler.FaultCanceled:
+	case handler.FaultConnectionLimit, handler.FaultStale, handler.FaultCanceled, handler.FaultNoMemory:
 	}
 
 	return r
--- a/internal/forwarder/codec.go
+++ b/internal/forwarder/codec.go
@@ -118,10 +118,10 @@
 	return time.Duration(math.Min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
-// copyResponse copies a complete response, without hop-by-hop fields and
-// handler.OutcomeField, out of the buffers that its connection reuses.
-func copyResponse(resp *fasthttp.Response) *handler.Response {
-	a := handler.NewResponse(resp.StatusCode(), append([]byte(nil), resp.Body()...))
+// copyResponse returns a complete response with the body and copies of the fields,
+// without hop-by-hop fields and handler.OutcomeField.
+func copyResponse(resp *fasthttp.Response, body []byte) *handler.Response {
+	a := handler.NewResponse(resp.StatusCode(), body)
 	listed := string(resp.Header.Peek(connectionField))
 	for k, v := range resp.Header.All() {
 		name := string(k)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http/httputil"
 	"os"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
@@ -48,14 +50,18 @@
 	clock   clock
 	pool    *pool
 	dialect *handler.Dialect
+	// memory limits the bytes of the bodies that are held at any time.
+	memory *reserver.Reserver
 }
 
 // NewTransport returns a transport without connections. It calls limit before
-// it opens a connection.
-func NewTransport(t ticker, d *handler.Dialect, limit func(target *manifester.Target) int) *Transport {
+// it opens a connection. It reserves the bytes of each response in memory and adds
+// them to those that the exchange holds.
+func NewTransport(t ticker, d *handler.Dialect, memory *reserver.Reserver, limit func(target *manifester.Target) int) *Transport {
 	return &Transport{
 		clock:   t,
 		dialect: d,
+		memory:  memory,
 		pool:    newPool(t, limit),
 	}
 }
@@ -149,31 +155,34 @@
 	left := x.Deadline().Sub(start)
 	buildRequest(req, t.dialect, x.Target(), x.Request(), left)
 	c.begin(left)
-	if err := writeRequest(c, req); err != nil {
-		return t.failed(ctx, c, x.Target(), start, err)
-	}
+	w := startWriting(c, req)
+	defer w.wait()
 	wait := left
 	if p := x.FirstByteTimeout(); p > 0 {
 		wait = min(wait, p)
 	}
-	if err := c.awaitResponse(wait); err != nil {
+	if err := w.awaitResponse(wait); err != nil {
+		w.wait() // Whether the request may have run depends on all that was sent.
+
 		return t.failed(ctx, c, x.Target(), start, err)
 	}
 	firstByte := t.clock.Now().Sub(start)
 	c.begin(x.Deadline().Sub(t.clock.Now()))
 	resp.SkipBody = req.Header.IsHead()
-	if err := t.readResponse(c, resp); err != nil {
+	body, err := t.readResponse(c, resp, x)
+	if err != nil {
+		w.wait()
+
 		return t.failed(ctx, c, x.Target(), start, err)
 	}
 	if hasOtherRequestID(t.dialect, x.Request(), resp) || lacksSignature(t.dialect, resp) {
 		return handler.NewFailedAttempt(x.Target(), handler.FaultMalformed,
 			handler.NewUnknownOutcome(handler.CodeUpstream, "the target's answer belongs to another request or lacks its mark")).SetTiming(firstByte, c.reused)
 	}
-	if !resp.ConnectionClose() && c.reader.Buffered() == 0 {
+	if !resp.ConnectionClose() && c.reader.Buffered() == 0 && w.written() {
 		c.finish()
 	}
-
-	a := t.completed(x.Target(), resp).SetTiming(firstByte, c.reused)
+	a := t.completed(x.Target(), resp, body).SetTiming(firstByte, c.reused)
 	if a.Fault() == handler.FaultMisdirected {
 		return a // The fields are those of another target.
 	}
@@ -181,14 +190,6 @@
 	return a.SetNotice(isLeaving(t.dialect, resp), retryAfter(t.dialect, resp, time.Now()))
 }
 
-func writeRequest(c *connection, req *fasthttp.Request) error {
-	if err := req.Write(c.writer); err != nil {
-		return errors.Wrap(err, "writing the request")
-	}
-
-	return errors.Wrap(c.writer.Flush(), "sending the request")
-}
-
 // responseError reports a response that could not be read, because it ended early,
 // has no framing or is not valid HTTP.
 type responseError struct {
@@ -200,6 +201,9 @@
 	return "the response could not be read; see the target's log: " + e.cause.Error()
 }
 
+// Unwrap returns the cause.
+func (e *responseError) Unwrap() error { return e.cause }
+
 // unframedError reports a response without a length, whose end is marked only by
 // the end of the connection.
 type unframedError struct{}
@@ -217,44 +221,45 @@
 	return "the target sent 101 or too many 1xx responses; it must send a final status"
 }
 
-// readResponse reads the final response. Its first byte is already buffered.
-func (t *Transport) readResponse(c *connection, resp *fasthttp.Response) error {
-	r := c.reader
-	if err := readFinalHeader(r, resp); err != nil {
-		return err
+// readResponse reads the final response and returns its body. The first byte of the
+// response is already buffered. The memory for the body is added to what the exchange
+// holds, also after an error.
+func (t *Transport) readResponse(c *connection, resp *fasthttp.Response, x *handler.Exchange) ([]byte, error) {
+	if err := readFinalHeader(c.reader, resp); err != nil {
+		return nil, err
 	}
 	if resp.SkipBody || !hasBody(resp.StatusCode()) {
-		resp.SkipBody = true
-
-		return nil
+		return nil, nil
 	}
 	const (
 		chunked = -1
 		unknown = -2
 	)
 	length := resp.Header.ContentLength()
-	if length == unknown && !t.dialect.Unframed() {
-		return &responseError{
-			cause: &unframedError{},
+	from := io.Reader(c.reader)
+	switch length {
+	case chunked:
+		from = httputil.NewChunkedReader(c.reader)
+	case unknown:
+		if !t.dialect.Unframed() {
+			return nil, &responseError{
+				cause: &unframedError{},
+			}
 		}
-	}
-	if length == unknown {
 		resp.SetConnectionClose() // The response ends with the connection.
 	}
-	if err := resp.ReadBody(r, maxResponseBytes); err != nil {
-		return &responseError{
-			cause: err,
-		}
+	body, held, err := t.memory.ReadBody(from, max(length, reserver.UnknownLength), maxResponseBytes)
+	x.Hold(held)
+	if err == nil && length == chunked {
+		err = resp.Header.ReadTrailer(c.reader)
 	}
-	if length == chunked {
-		if err := resp.Header.ReadTrailer(r); err != nil {
-			return &responseError{
-				cause: err,
-			}
+	if err != nil {
+		return nil, &responseError{
+			cause: err,
 		}
 	}
 
-	return nil
+	return body, nil
 }
 
 func readFinalHeader(r *bufio.Reader, resp *fasthttp.Response) error {
@@ -282,13 +287,13 @@
 
 // completed returns the attempt of a complete response, which is a failed one if
 // the target reports that it did not run the request.
-func (t *Transport) completed(target *manifester.Target, resp *fasthttp.Response) *handler.Attempt {
+func (t *Transport) completed(target *manifester.Target, resp *fasthttp.Response, body []byte) *handler.Attempt {
 	if t.dialect.NotRun() != "" {
 		if a := t.notRun(target, resp); a != nil {
 			return a
 		}
 
-		return handler.NewCompletedAttempt(target, copyResponse(resp))
+		return handler.NewCompletedAttempt(target, copyResponse(resp, body))
 	}
 	if resp.StatusCode() == fasthttp.StatusServiceUnavailable {
 		switch string(resp.Header.Peek(stateField)) {
@@ -300,7 +305,7 @@
 		}
 	}
 
-	return handler.NewCompletedAttempt(target, copyResponse(resp))
+	return handler.NewCompletedAttempt(target, copyResponse(resp, body))
 }
 
 // notRun returns a failed attempt if the response reports that the target did
@@ -345,7 +350,7 @@
 		return handler.FaultCanceled
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
 		return handler.FaultSlow
-	case errors.As(err, &interim), errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.As(err, &interim):
 		return handler.FaultMalformed
 	case errors.As(err, &unreadable):
 		return classifyResponseError(unreadable.cause)
@@ -355,15 +360,17 @@
 }
 
 // classifyResponseError distinguishes a response that ended early or has no framing
-// from one that is not valid HTTP.
+// from one that is not valid HTTP or too large, and from one for which the VM has no
+// memory.
 func classifyResponseError(cause error) handler.Fault {
 	var unframed *unframedError
 	var op *net.OpError
-	var chunk fasthttp.ErrBrokenChunk
-	if errors.As(cause, &unframed) || errors.As(cause, &op) || errors.As(cause, &chunk) ||
-		errors.Is(cause, io.EOF) || errors.Is(cause, io.ErrUnexpectedEOF) {
+	switch {
+	case errors.Is(cause, reserver.ErrNoMemory):
+		return handler.FaultNoMemory
+	case errors.As(cause, &unframed), errors.As(cause, &op), errors.Is(cause, io.EOF), errors.Is(cause, io.ErrUnexpectedEOF):
 		return handler.FaultTruncated
+	default:
+		return handler.FaultMalformed
 	}
-
-	return handler.FaultMalformed
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -20,10 +20,14 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
+// testMemory is more than the bodies of a test hold.
+const testMemory = 1 << 30
+
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 // scriptedTarget is a target that responds to each request with given bytes.
@@ -100,17 +104,26 @@
 	firstByteTimeout time.Duration
 	timeout          time.Duration
 	token            string
-	method           string
+	// body is a short one if it is nil.
+	body   []byte
+	method string
 }
 
 func do(ctx context.Context, t *forwarder.Transport, s *timer.Service, spec attemptSpec) *handler.Attempt {
+	return t.Do(ctx, newExchange(s, spec))
+}
+
+func newExchange(s *timer.Service, spec attemptSpec) *handler.Exchange {
 	if spec.timeout == 0 {
 		spec.timeout = 10 * time.Second
 	}
 	if spec.method == "" {
 		spec.method = http.MethodPost
 	}
-	r := handler.NewRequest(spec.method, "/book", "", []byte("seat"))
+	if spec.body == nil {
+		spec.body = []byte("seat")
+	}
+	r := handler.NewRequest(spec.method, "/book", "", spec.body)
 	r.Fields().Add("Token", spec.token)
 	x := handler.NewExchange(r, s.Now())
 	x.SetRoute(manifester.NewRoute(manifester.RouteSpec{Idempotent: spec.idempotent}), nil)
@@ -118,14 +131,14 @@
 	x.SetDeadline(s.Now().Add(spec.timeout))
 	x.SetFirstByteTimeout(spec.firstByteTimeout)
 
-	return t.Do(ctx, x)
+	return x
 }
 
 func newTransport(t *testing.T, limit int) (*forwarder.Transport, *timer.Service) {
 	t.Helper()
 	s := timer.NewService()
 
-	return forwarder.NewTransport(s, handler.DefaultDialect(), func(*manifester.Target) int { return limit }), s
+	return forwarder.NewTransport(s, handler.DefaultDialect(), reserver.New(testMemory), func(*manifester.Target) int { return limit }), s
 }
 
 func describe(a *handler.Attempt) string {
--- a/internal/forwarder/notice_test.go
+++ b/internal/forwarder/notice_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
@@ -49,7 +50,7 @@
 	} {
 		f := startTarget(t, respond("HTTP/1.1 "+c.head+"\r\nContent-Length: 0\r\n\r\n"))
 		s := timer.NewService()
-		tr := forwarder.NewTransport(s, d, func(*manifester.Target) int { return 1 })
+		tr := forwarder.NewTransport(s, d, reserver.New(testMemory), func(*manifester.Target) int { return 1 })
 		a := do(context.Background(), tr, s, attemptSpec{address: f.ln.Addr().String(), idempotent: true})
 		fmt.Fprintf(&out, "%s: %s leaving=%v retryAfter=%v\n", c.name, describe(a), a.Leaving(), a.RetryAfter())
 	}
--- a/internal/forwarder/probe_test.go
+++ b/internal/forwarder/probe_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
@@ -42,7 +43,7 @@
 				Name:    "t",
 				Address: ln.Addr().String(),
 			})
-			tr := forwarder.NewTransport(timer.NewService(), handler.DefaultDialect(), func(*manifester.Target) int { return 1 })
+			tr := forwarder.NewTransport(timer.NewService(), handler.DefaultDialect(), reserver.New(testMemory), func(*manifester.Target) int { return 1 })
 			if got := tr.RefusesConnections(t.Context(), target); got != c.want {
 				t.Errorf("refuses = %v, want %v", got, c.want)
 			}
--- a/internal/handler/attempt.go
+++ b/internal/handler/attempt.go
@@ -45,6 +45,9 @@
 	// FaultMalformed means that the response was not valid HTTP, was too large,
 	// belonged to another request or lacked the target's signature.
 	FaultMalformed Fault = "malformed"
+	// FaultNoMemory means that this VM had no memory left for the response. It says
+	// nothing about the target's health.
+	FaultNoMemory Fault = "no-memory"
 	// FaultCanceled means that the caller disconnected, or that the deadline
 	// passed before any byte of the request was sent.
 	FaultCanceled Fault = "canceled"
--- a/internal/handler/exchange.go
+++ b/internal/handler/exchange.go
@@ -39,6 +39,9 @@
 	// received no recent requests.
 	risk  float64
 	trial bool
+	// heldBytes is the memory reserved for the bodies of the exchange, which the front
+	// end releases once the response was written.
+	heldBytes int64
 	// firstByteTimeout bounds the wait for the first byte of the next attempt's
 	// response; 0 if only the deadline bounds it.
 	firstByteTimeout time.Duration
@@ -170,6 +173,12 @@
 // recent requests.
 func (r AttemptRecord) Trial() bool { return r.trial }
 
+// Hold adds to the bytes reserved for the bodies of the exchange.
+func (x *Exchange) Hold(n int64) { x.heldBytes += n }
+
+// Held returns the bytes reserved for the bodies of the exchange.
+func (x *Exchange) Held() int64 { return x.heldBytes }
+
 // FirstByteTimeout returns the timeout for the first byte of the next attempt's
 // response, or 0 if only the deadline bounds the wait.
 func (x *Exchange) FirstByteTimeout() time.Duration { return x.firstByteTimeout }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -3,6 +3,7 @@
 package listener
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math"
@@ -17,6 +18,7 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/encoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
@@ -53,7 +55,10 @@
 	dialect *handler.Dialect
 	ln      net.Listener
 	limits  *effectiveLimits
+	memory  *reserver.Reserver
 	server  *fasthttp.Server
+	// connections holds the open connections.
+	connections *registry
 	// shutdownTimeout bounds how long a shutdown waits for open requests.
 	shutdownTimeout time.Duration
 	// draining is set by Drain. Each response then closes its connection.
@@ -73,6 +78,8 @@
 	// of the configuration.
 	MaxBody int
 	Limits  limitSource
+	// Memory limits the bytes of the bodies that are held at any time.
+	Memory  *reserver.Reserver
 	Dialect *handler.Dialect
 	Clock   clock
 }
@@ -84,6 +91,8 @@
 			source:          s.Limits,
 			ownMaxBodyBytes: s.MaxBody,
 		},
+		memory:          s.Memory,
+		connections:     newRegistry(),
 		chain:           s.Chain,
 		clock:           s.Clock,
 		dialect:         s.Dialect,
@@ -98,12 +107,12 @@
 		WriteTimeout:                 writeTimeout,
 		IdleTimeout:                  idleTimeoutMarker,
 		ReadBufferSize:               ownMaxHeaderBytes + requestLineBytes,
-		MaxRequestBodySize:           s.MaxBody,
+		MaxRequestBodySize:           min(s.MaxBody, smallBodyBytes),
+		StreamRequestBody:            true,
 		HeaderReceived:               l.bodyConfig,
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
 		DisablePreParseMultipartForm: true,
-		CloseOnShutdown:              true,
 		Logger:                       discardLogger{},
 	}
 
@@ -128,33 +137,42 @@
 	l.draining.Store(true)
 }
 
-// Run serves callers until ctx ends. It then closes the socket and waits for open
+// Run serves callers until ctx ends. It then accepts the connections that wait to be
+// accepted, closes the socket and the connections without a request, and waits for open
 // requests, for at most shutdownTimeout. It returns an error if the server fails or
 // if requests are still open at that time.
 func (l *Listener) Run(ctx context.Context) error {
+	accepting := &limitedListener{
+		Listener:    l.ln,
+		limits:      l.limits,
+		connections: l.connections,
+		ended:       make(chan struct{}),
+	}
 	failed := make(chan error, 1)
 	go func() {
-		failed <- l.server.Serve(&limitedListener{
-			Listener: l.ln,
-			limits:   l.limits,
-		})
+		failed <- l.server.Serve(accepting)
 	}()
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serving callers")
 	case <-ctx.Done():
 	}
+	l.Drain()
+	if err := accepting.stop(); err != nil {
+		return errors.Wrap(err, "closing the callers' socket")
+	}
 	shutdown, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.shutdownTimeout)
 	defer cancel()
+	l.connections.expire()
 
-	return errors.Wrap(l.server.ShutdownWithContext(shutdown), "stopping the callers' listener")
+	return errors.Wrap(l.connections.wait(shutdown), "answering open requests")
 }
 
 // bodyConfig returns the limits on the body that follows a header.
 func (l *Listener) bodyConfig(*fasthttp.RequestHeader) fasthttp.RequestConfig {
 	return fasthttp.RequestConfig{
 		ReadTimeout:        bodyTimeout,
-		MaxRequestBodySize: l.limits.maxBodyBytes(),
+		MaxRequestBodySize: min(l.limits.maxBodyBytes(), smallBodyBytes),
 	}
 }
 
@@ -175,19 +193,28 @@
 
 		return
 	}
-	if l.draining.Load() {
+	body, reserved, err := l.readBody(c)
+	if err != nil {
 		c.SetConnectionClose()
+		l.writeRefusal(c, err)
+
+		return
 	}
-	x := handler.NewExchange(l.newRequest(c), l.clock.Now())
+	x := handler.NewExchange(l.newRequest(c, body), l.clock.Now())
+	x.Hold(reserved)
 	ctx, w := watch(l.base, c.Conn())
-	err := l.chain.Serve(ctx, x)
+	err = l.chain.Serve(ctx, x)
 	w.stop()
+	if l.draining.Load() {
+		c.SetConnectionClose()
+	}
 	if err != nil {
+		l.memory.Release(x.Held())
 		l.writeRefusal(c, err)
 
 		return
 	}
-	l.writeResponse(c, x.Response())
+	l.writeResponse(c, x)
 }
 
 // retryAfter formats the time that a caller should wait: in whole seconds, rounded
@@ -200,12 +227,12 @@
 	return strconv.Itoa(int(math.Ceil(w.Seconds())))
 }
 
-func (l *Listener) newRequest(c *fasthttp.RequestCtx) *handler.Request {
+func (l *Listener) newRequest(c *fasthttp.RequestCtx, body []byte) *handler.Request {
 	path, query := string(c.URI().Path()), string(c.URI().QueryString())
 	if l.dialect.Verbatim() {
 		path, query, _ = strings.Cut(string(c.Request.Header.RequestURI()), "?")
 	}
-	r := handler.NewRequest(string(c.Method()), path, query, append([]byte(nil), c.Request.Body()...))
+	r := handler.NewRequest(string(c.Method()), path, query, body)
 	for k, v := range c.Request.Header.All() {
 		r.Fields().Add(string(k), string(v))
 	}
@@ -213,12 +240,25 @@
 	return r
 }
 
-func (l *Listener) writeResponse(c *fasthttp.RequestCtx, r *handler.Response) {
+// writeResponse writes the response of the exchange. The memory of a large body is
+// released once it was written.
+func (l *Listener) writeResponse(c *fasthttp.RequestCtx, x *handler.Exchange) {
+	r := x.Response()
 	c.Response.SetStatusCode(r.Status())
 	for _, f := range r.Fields().All() {
 		c.Response.Header.Add(f.Name(), f.Value())
 	}
-	c.Response.SetBodyRaw(r.Body())
+	if len(r.Body()) <= smallBodyBytes {
+		l.memory.Release(x.Held())
+		c.Response.SetBodyRaw(r.Body())
+
+		return
+	}
+	c.Response.SetBodyStream(&reservedBody{
+		Reader:   bytes.NewReader(r.Body()),
+		memory:   l.memory,
+		reserved: x.Held(),
+	}, len(r.Body()))
 }
 
 // handleReadError refuses a request that was malformed, too large or too slow to
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
+	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
@@ -68,6 +69,7 @@
 		Chain:   h,
 		MaxBody: 64,
 		Limits:  limits,
+		Memory:  reserver.New(1 << 30),
 		Dialect: handler.DefaultDialect(),
 		Clock:   timer.NewService(),
 	})
--- /dev/null
+++ b/internal/listener/pipeline_test.go
@@ -0,0 +1,250 @@
+package listener_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/listener"
+	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// recorder counts the requests that reach the chain.
+type recorder struct {
+	next handler.Handler
+	mu   sync.Mutex
+	// entered holds the paths of all requests, and live counts by path those whose
+	// context had not ended when they arrived.
+	entered map[string]bool
+	live    map[string]int
+}
+
+func (r *recorder) Serve(ctx context.Context, x *handler.Exchange) error {
+	r.mu.Lock()
+	if r.entered == nil {
+		r.entered, r.live = map[string]bool{}, map[string]int{}
+	}
+	r.entered[x.Request().Path()] = true
+	if ctx.Err() == nil {
+		r.live[x.Request().Path()]++
+	}
+	r.mu.Unlock()
+
+	return r.next.Serve(ctx, x)
+}
+
+// uncanceled returns how many requests with the path had a context that had not ended.
+func (r *recorder) uncanceled(path string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.live[path]
+}
+
+// slowEcho responds with the path after a random time, in a body of a few kilobytes.
+type slowEcho struct{}
+
+const slowEchoPadding = 3000
+
+func (slowEcho) Serve(_ context.Context, x *handler.Exchange) error {
+	time.Sleep(rand.N(8 * time.Millisecond)) //nolint:gosec // A test.
+	x.SetResponse(handler.NewResponse(http.StatusOK, []byte(x.Request().Path()+strings.Repeat(" ", slowEchoPadding))))
+
+	return nil
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+
+	return c
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// startStoppable starts a listener and returns its address and a function that begins
+// the planned stop and waits for its end.
+func startStoppable(t *testing.T, h handler.Handler) (address string, drain func(), stop func() error) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits := &variableLimits{}
+	limits.set(manifester.LimitsSpec{})
+	l := listener.New(listener.Spec{
+		Socket:  ln,
+		Chain:   h,
+		MaxBody: 1 << 20,
+		Memory:  reserver.New(1 << 30),
+		Limits:  limits,
+		Dialect: handler.DefaultDialect(),
+		Clock:   timer.NewService(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	stop = sync.OnceValue(func() error {
+		cancel()
+
+		return <-done
+	})
+	t.Cleanup(func() { _ = stop() })
+
+	return ln.Addr().String(), l.Drain, stop
+}
+
+// TestResponseThatCloses checks that a response that closes the connection arrives whole
+// although the caller still sends further requests, and that none of these runs.
+func TestResponseThatCloses(t *testing.T) {
+	w := &waitHandler{
+		entered:  make(chan struct{}),
+		canceled: make(chan struct{}),
+	}
+	recorded := &recorder{next: w}
+	address, drain, _ := startStoppable(t, recorded)
+	c := dial(t, address)
+	send(t, c, "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-w.entered
+	send(t, c, strings.Repeat("GET /later HTTP/1.1\r\nHost: x\r\n\r\n", 4000)) // More than the VM reads ahead.
+	drain()
+	close(w.canceled)
+	time.Sleep(100 * time.Millisecond) // The response and the end of the connection are on their way.
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || string(body) != "/wait" || !resp.Close {
+		t.Errorf("got %q, close=%v and %v, want the whole response, which closes the connection", body, resp.Close, err)
+	}
+	if n, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("after the response: %d bytes and %v, want the end of the connection", n, err)
+	}
+	if n := recorded.uncanceled("/later"); n > 0 {
+		t.Errorf("%d requests behind a response that closes the connection ran", n)
+	}
+}
+
+// stopCaller sends requests in groups, one connection after the other, until it finds no
+// listener, and records the paths of those that were answered.
+type stopCaller struct {
+	address  string
+	number   int
+	answered map[string]bool
+	// disordered is the first response that was not the next one due; "" without one.
+	disordered string
+}
+
+func (s *stopCaller) run() {
+	s.answered = map[string]bool{}
+	for n := 0; ; n++ {
+		c, err := net.Dial("tcp", s.address)
+		if err != nil {
+			return
+		}
+		s.useConnection(c, n)
+		c.Close()
+	}
+}
+
+// useConnection sends groups of one to four requests until the connection ends.
+func (s *stopCaller) useConnection(c net.Conn, n int) {
+	r := bufio.NewReader(c)
+	for group := 0; ; group++ {
+		var paths []string
+		text := ""
+		for i := range 1 + rand.IntN(4) { //nolint:gosec // A test.
+			path := fmt.Sprintf("/%d-%d-%d-%d", s.number, n, group, i)
+			paths = append(paths, path)
+			text += "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n"
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+		for _, path := range paths {
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(resp.Body)
+			if err != nil || len(body) != len(path)+slowEchoPadding {
+				return
+			}
+			if !strings.HasPrefix(string(body), path+" ") {
+				s.disordered = path
+			}
+			s.answered[path] = true
+			if resp.Close {
+				return
+			}
+		}
+		time.Sleep(rand.N(3 * time.Millisecond)) //nolint:gosec // A test.
+	}
+}
+
+// TestPlannedStopUnderLoad checks that during a planned stop under pipelined load every
+// request that reached the chain is answered, and that responses are in order.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	const stops, callers = 6, 40
+	for range stops {
+		recorded := &recorder{next: slowEcho{}}
+		address, drain, stop := startStoppable(t, recorded)
+		list := make([]*stopCaller, callers)
+		var wg sync.WaitGroup
+		for i := range list {
+			list[i] = &stopCaller{
+				address: address,
+				number:  i,
+			}
+			wg.Go(list[i].run)
+		}
+		time.Sleep(100 * time.Millisecond)
+		drain()
+		time.Sleep(50 * time.Millisecond)
+		if err := stop(); err != nil {
+			t.Errorf("the listener stopped with %v", err)
+		}
+		wg.Wait()
+		answered := map[string]bool{}
+		for _, s := range list {
+			if s.disordered != "" {
+				t.Errorf("a response to another request came for %s", s.disordered)
+			}
+			for path := range s.answered {
+				answered[path] = true
+			}
+		}
+		lost := 0
+		for path := range recorded.entered {
+			if !answered[path] {
+				lost++
+			}
+		}
+		if lost > 0 || len(answered) == 0 {
+			t.Errorf("%d of %d requests that reached the chain were not answered", lost, len(recorded.entered))
+		}
+	}
+}
--- a/internal/listener/watch.go
+++ b/internal/listener/watch.go
@@ -3,17 +3,21 @@
 import (
 	"context"
 	"net"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 )
 
+// watchBytes is the size of the buffer in which the bytes of further requests are read.
+const watchBytes = 2 << 10
+
 // watcher cancels the context of a request if its caller closes the connection
 // before the response. A caller that closes only its sending side counts as
-// disconnected too, as in net/http.
+// disconnected too, as in net/http. The bytes of further requests are read and kept, as
+// the end of the connection shows only after them.
 type watcher struct {
-	conn   *net.TCPConn
+	conn   *conn
 	cancel context.CancelFunc
 	// done is closed when run has returned.
 	done chan struct{}
@@ -26,38 +30,36 @@
 	if !ok {
 		return base, nil
 	}
+	caller.begin()
 	ctx, cancel := context.WithCancel(base)
 	w := &watcher{
-		conn:   caller.TCPConn,
+		conn:   caller,
 		cancel: cancel,
 		done:   make(chan struct{}),
 	}
+	if caller.left {
+		cancel() // The caller left during an earlier request.
+	}
 	go w.run()
 
 	return ctx, w
 }
 
-// run waits for the end of the connection or for bytes of the next request, which it
-// does not consume.
+// run reads the connection until it ends, stop is called or too many bytes wait.
 func (w *watcher) run() {
 	defer close(w.done)
-	raw, err := w.conn.SyscallConn()
-	if err != nil {
-		return
-	}
-	closed := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		if errors.Is(e, unix.EAGAIN) || errors.Is(e, unix.EINTR) {
-			return false
+	c := w.conn
+	for !c.left && len(c.waiting) < maxWaitingBytes {
+		var b [watchBytes]byte
+		n, err := c.TCPConn.Read(b[:min(watchBytes, maxWaitingBytes-len(c.waiting))])
+		c.waiting = append(c.waiting, b[:n]...)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		if err != nil {
+			c.left = true
+			w.cancel()
 		}
-		closed = e != nil || n == 0
-
-		return true
-	})
-	if err == nil && closed {
-		w.cancel()
 	}
 }
 
@@ -66,8 +68,8 @@
 	if w == nil {
 		return
 	}
-	_ = w.conn.SetReadDeadline(time.Unix(1, 0)) // On a closed connection, run ends without it.
+	_ = w.conn.TCPConn.SetReadDeadline(past) // On a closed connection, run ends without it.
 	<-w.done
-	_ = w.conn.SetReadDeadline(time.Time{}) // The server sets its own before the next read.
+	_ = w.conn.TCPConn.SetReadDeadline(time.Time{}) // The server sets its own before the next read.
 	w.cancel()
 }
--- a/internal/listener/watch_test.go
+++ b/internal/listener/watch_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,8 +22,11 @@
 func (w *waitHandler) Serve(ctx context.Context, x *handler.Exchange) error {
 	if x.Request().Path() == "/wait" {
 		close(w.entered)
-		<-ctx.Done()
-		close(w.canceled)
+		select {
+		case <-ctx.Done():
+			close(w.canceled)
+		case <-w.canceled:
+		}
 	}
 	if ctx.Err() != nil && x.Request().Path() != "/wait" {
 		return handler.NewRefusal(handler.CodeInternal, "the context was canceled while the caller was connected")
@@ -72,3 +76,32 @@
 		t.Error("the context was not canceled after the caller disconnected")
 	}
 }
+
+// TestCallerLeavesBehindPipelinedRequests checks that the context of a request is canceled
+// when its caller leaves, although bytes of further requests wait on the connection, and
+// that these requests do not run.
+func TestCallerLeavesBehindPipelinedRequests(t *testing.T) {
+	for _, n := range []int{1, 100} {
+		w := &waitHandler{
+			entered:  make(chan struct{}),
+			canceled: make(chan struct{}),
+		}
+		recorded := &recorder{next: w}
+		c := dial(t, startListener(t, recorded, longTimeout))
+		send(t, c, "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+		<-w.entered
+		send(t, c, strings.Repeat("GET /later HTTP/1.1\r\nHost: x\r\n\r\n", n))
+		time.Sleep(50 * time.Millisecond) // The bytes arrive before the end of the connection.
+		c.Close()
+		select {
+		case <-w.canceled:
+		case <-time.After(500 * time.Millisecond):
+			t.Errorf("%d further requests: the context was not canceled within half a second", n)
+			close(w.canceled)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if ran := recorded.uncanceled("/later"); ran > 0 {
+			t.Errorf("%d of %d further requests ran after their caller had left", ran, n)
+		}
+	}
+}
