Drop a target that was removed while only some VMs were cut off

Cause: entries that lapse while the store is away stay listed for two seconds. A VM that was cut off took the same two seconds where any other VM was cut off as well, because one VM that the store did not answer made it forget that the store answered all others. Change: reports state whether the store answered the sender within the last second. The grace starts when another VM was first answered after the loss, without a gap of more than four seconds since, the time in which entries lapse. VMs that are not answered prove nothing. TestPartition holds the old cases, with times in which entries can lapse, and new ones; the old code kept the target in the second.

--- a/internal/adopter/adopter.go
+++ b/internal/adopter/adopter.go
@@ -80,8 +80,8 @@
 // StoreReached does nothing. It implements the subscriber's view.
 func (a *Adopter) StoreReached(timer.Instant) {}
 
-// PeerStoreStatus does nothing. It implements the subscriber's view.
-func (a *Adopter) PeerStoreStatus(timer.Instant, bool) {}
+// PeerReached does nothing. It implements the subscriber's view.
+func (a *Adopter) PeerReached(timer.Instant) {}
 
 // StoreLost does nothing, as the configuration stays in force without the store. It
 // implements the subscriber's view.
--- a/internal/decoder/report.go
+++ b/internal/decoder/report.go
@@ -128,7 +128,7 @@
 	})
 	c.list(func() { spec.Marks = append(spec.Marks, readMark(c)) })
 	c.list(func() {
-		spec.Positions = append(spec.Positions, gossiper.NewPosition(c.uvarint(), c.uvarint(), c.octet() != 0))
+		spec.Positions = append(spec.Positions, readPosition(c))
 	})
 	c.list(func() {
 		spec.Estimates = append(spec.Estimates, estimator.NewEstimate(estimator.Key(c.fixed32()),
@@ -146,6 +146,12 @@
 	return gossiper.NewReport(spec), nil
 }
 
+func readPosition(c *cursor) gossiper.Position {
+	topic, next, flags := c.uvarint(), c.uvarint(), c.octet()
+
+	return gossiper.NewPosition(topic, next, flags&encoder.PositionLost != 0, flags&encoder.PositionAnswered != 0)
+}
+
 func readRelay(c *cursor) *gossiper.Relay {
 	topic, from, to := c.uvarint(), subscriber.Offset(c.uvarint()), subscriber.Offset(c.uvarint())
 	var records []subscriber.Record
--- a/internal/decoder/report_test.go
+++ b/internal/decoder/report_test.go
@@ -24,7 +24,7 @@
 		Loads:             []gossiper.Load{gossiper.NewLoad(7, 3)},
 		Evidence:          []gossiper.Evidence{gossiper.NewEvidence(7, estimator.OutcomeFailed)},
 		Marks:             []quarantiner.Mark{quarantiner.NewDeath("f", "i-1"), quarantiner.NewSurvival("g")},
-		Positions:         []gossiper.Position{gossiper.NewPosition(1, 99, true)},
+		Positions:         []gossiper.Position{gossiper.NewPosition(1, 99, true, false), gossiper.NewPosition(2, 7, false, true)},
 		Estimates:         []estimator.Estimate{estimator.NewEstimate(7, 1, 1500*time.Millisecond, 2*time.Second)},
 		Relay: gossiper.NewRelay(1, 97, 99, []subscriber.Record{
 			subscriber.NewRecord("i-1", []byte(`{"a":1}`), 97),
--- a/internal/encoder/report.go
+++ b/internal/encoder/report.go
@@ -19,6 +19,14 @@
 	ReportRelay = 4
 )
 
+// The bits of a position's flags.
+const (
+	// PositionLost is set while the store does not answer the VM.
+	PositionLost = 1
+	// PositionAnswered is set if the store answered the VM lately.
+	PositionAnswered = 2
+)
+
 // RiskScale is the encoded value of a risk of 1; smaller risks are in proportion.
 const RiskScale = 255
 
@@ -56,7 +64,7 @@
 	for _, p := range r.Positions() {
 		b = binary.AppendUvarint(b, uint64(p.Topic()))
 		b = binary.AppendUvarint(b, uint64(p.Next()))
-		b = append(b, flagBit(p.StoreLost(), 1))
+		b = append(b, flagBit(p.StoreLost(), PositionLost)|flagBit(p.Answered(), PositionAnswered))
 	}
 
 	b = binary.AppendUvarint(b, uint64(len(r.Estimates())))
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -35,6 +35,9 @@
 	// broadcastRounds is the number of rounds between the reports that go to all
 	// known VMs, also to those that have not been heard within goneTimeout.
 	broadcastRounds = 8
+	// answeredTime is the time for which reports state that the store answered a call. It
+	// is two rounds, since a report may be lost or left out.
+	answeredTime = 2 * reportInterval
 	// maxDatagram is the size, in bytes, of the buffer that reports are received in.
 	maxDatagram = 8 << 10
 	// maxEvidence and maxEstimates bound the lists of one report, so that it fits
@@ -92,10 +95,12 @@
 	Lost() bool
 	// Topic returns the name of the topic.
 	Topic() string
+	// Silence returns the time since the store last answered this VM; 0 before it did.
+	Silence() time.Duration
 	// NotePeerOffset notes that another VM has read up to the offset, and
-	// NotePeerStoreStatus notes whether the store answers that VM.
+	// NotePeerReached that the store answered that VM lately.
 	NotePeerOffset(to subscriber.Offset)
-	NotePeerStoreStatus(answered bool)
+	NotePeerReached()
 	// ApplyForwarded applies records that another VM has read.
 	ApplyForwarded(from, to subscriber.Offset, records []subscriber.Record)
 }
@@ -264,8 +269,8 @@
 // StoreReached does nothing.
 func (g *Gossiper) StoreReached(timer.Instant) {}
 
-// PeerStoreStatus does nothing.
-func (g *Gossiper) PeerStoreStatus(timer.Instant, bool) {}
+// PeerReached does nothing.
+func (g *Gossiper) PeerReached(timer.Instant) {}
 
 // StoreLost does nothing.
 func (g *Gossiper) StoreLost(timer.Instant) {}
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -37,8 +37,11 @@
 // NotePeerOffset does nothing.
 func (*lockedReader) NotePeerOffset(subscriber.Offset) {}
 
-// NotePeerStoreStatus does nothing.
-func (*lockedReader) NotePeerStoreStatus(bool) {}
+// Silence returns a fixed time. It takes the lock.
+func (r *lockedReader) Silence() time.Duration { return time.Duration(r.Position()) }
+
+// NotePeerReached does nothing.
+func (*lockedReader) NotePeerReached() {}
 
 // ApplyForwarded passes the records to the gossiper while it holds the lock.
 func (r *lockedReader) ApplyForwarded(_, _ subscriber.Offset, records []subscriber.Record) {
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -112,7 +112,9 @@
 	}
 	for _, q := range r.positions {
 		if int(q.topic) < len(g.readers) {
-			g.readers[q.topic].NotePeerStoreStatus(!q.storeLost)
+			if q.answered {
+				g.readers[q.topic].NotePeerReached()
+			}
 			g.readers[q.topic].NotePeerOffset(subscriber.Offset(q.next))
 		}
 	}
--- a/internal/gossiper/report.go
+++ b/internal/gossiper/report.go
@@ -51,22 +51,28 @@
 type Position struct {
 	topic uint32
 	next  uint32
-	// storeLost is set while the store does not answer the VM.
+	// storeLost is set while the store does not answer the VM, and answered where it
+	// answered a call lately. Neither is set between two calls.
 	storeLost bool
+	answered  bool
 }
 
 // NewPosition returns a position in the topic with the given number.
-func NewPosition(topic, next uint32, storeLost bool) Position {
+func NewPosition(topic, next uint32, storeLost, answered bool) Position {
 	return Position{
 		topic:     topic,
 		next:      next,
 		storeLost: storeLost,
+		answered:  answered,
 	}
 }
 
 // StoreLost reports whether the store does not answer the VM.
 func (p Position) StoreLost() bool { return p.storeLost }
 
+// Answered reports whether the store answered a call of the VM lately.
+func (p Position) Answered() bool { return p.answered }
+
 // Topic returns the number of the topic.
 func (p Position) Topic() uint32 { return p.topic }
 
--- a/internal/gossiper/topics.go
+++ b/internal/gossiper/topics.go
@@ -91,7 +91,8 @@
 func (g *Gossiper) positions() []Position {
 	list := make([]Position, len(g.readers))
 	for i, r := range g.readers {
-		list[i] = NewPosition(uint32(i), uint32(r.Position()), r.Lost()) //nolint:gosec // A topic gets far fewer records in a day.
+		silence := r.Silence()
+		list[i] = NewPosition(uint32(i), uint32(r.Position()), r.Lost(), silence > 0 && silence <= answeredTime) //nolint:gosec // A topic gets far fewer records in a day.
 	}
 
 	return list
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -24,10 +24,15 @@
 // themselves again.
 const relistGrace = 2 * time.Second
 
-// peerReportDelay is the maximum delay of a report by another VM that the store answers
-// it. A report within this time after this VM lost the store may be older than the loss
-// and is ignored.
-const peerReportDelay = 1500 * time.Millisecond
+const (
+	// peerReportDelay is the maximum delay of a report by another VM that the store
+	// answered it. A report within this time after this VM lost the store may be older
+	// than the loss and is ignored.
+	peerReportDelay = 1500 * time.Millisecond
+	// maxReportGap is the time without such a report after which the store may have been
+	// unavailable for long enough for entries to expire.
+	maxReportGap = 4 * time.Second
+)
 
 // leavingRetention is how long a target that is about to stop is remembered once its
 // entry was last seen.
@@ -131,11 +136,12 @@
 	// loaded is set once the list has been read.
 	loaded atomic.Bool
 	// storeLostAt is when the store stopped answering this VM; 0 while it answers.
-	// peerReachedAt is when another VM first reported, at least peerReportDelay after
-	// that loss, that the store answers it; 0 before, and again once any VM reports that
-	// the store does not.
-	storeLostAt   timer.Instant
-	peerReachedAt timer.Instant
+	// peerReachedAt and lastPeerReached are the first and the last time, at least
+	// peerReportDelay after that loss, at which another VM reported that the store had
+	// answered it; 0 before. There was no gap above maxReportGap between them.
+	storeLostAt     timer.Instant
+	peerReachedAt   timer.Instant
+	lastPeerReached timer.Instant
 	// storeBackAt is when the store last became available again, to this VM or to
 	// another; 0 before it was first unavailable to this VM.
 	storeBackAt timer.Instant
@@ -191,22 +197,27 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.storeLostAt != 0 {
-		r.storeBackAt = cmp.Or(r.peerReachedAt, now)
+		r.storeBackAt = now
+		if r.peerReachedAt != 0 && now.Sub(r.lastPeerReached) <= maxReportGap {
+			r.storeBackAt = r.peerReachedAt
+		}
 	}
 	r.storeLostAt = 0
 	r.peerReachedAt = 0
 }
 
-// PeerStoreStatus records whether the store answers another VM, as that VM reported.
-func (r *Registrar) PeerStoreStatus(now timer.Instant, answered bool) {
+// PeerReached records a report by another VM that the store answered it lately. VMs that
+// the store does not answer prove nothing: they may be cut off from it.
+func (r *Registrar) PeerReached(now timer.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch {
-	case !answered:
-		r.peerReachedAt = 0
-	case r.storeLostAt != 0 && r.peerReachedAt == 0 && now.Sub(r.storeLostAt) >= peerReportDelay:
+	if r.storeLostAt == 0 || now.Sub(r.storeLostAt) < peerReportDelay {
+		return
+	}
+	if r.peerReachedAt == 0 || now.Sub(r.lastPeerReached) > maxReportGap {
 		r.peerReachedAt = now
 	}
+	r.lastPeerReached = now
 }
 
 // StoreLost records that the store did not answer this VM.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -91,18 +91,25 @@
 // TestPartition compares how long a target stays listed with the golden transcript. The
 // target's entry was removed while this VM could not reach the store. Where the store
 // kept answering other VMs, the target had the time to list itself again, so that it
-// is dropped at once.
+// is dropped at once. VMs that the store does not answer do not change that.
 func TestPartition(t *testing.T) {
 	var out bytes.Buffer
+	const seconds = 12
+	always := func(int) bool { return true }
 	for _, c := range []struct {
 		name string
-		// peers holds, for each second, whether the store answers another VM.
-		peers []bool
+		// answered reports whether another VM reports in the given second that the store
+		// answered it.
+		answered func(second int) bool
 	}{
-		{"the store was unavailable to all VMs", []bool{true, false, false, false, false}},
-		{"the store was unavailable to this VM alone; reports of others count from the third second on", []bool{true, true, true, true, true}},
-		{"the store was unavailable to this VM, then to all VMs", []bool{true, true, true, false, false}},
-		{"the store was available again to other VMs a second earlier", []bool{false, false, false, true, true}},
+		{"the store was unavailable to all VMs", func(int) bool { return false }},
+		{"the store was unavailable to this VM, or to it and to others, but not to all", always},
+		{"the same, and reports come every three seconds", func(n int) bool { return n%3 == 0 }},
+		{"only reports that may be older than the loss", func(n int) bool { return n < 2 }},
+		{"the store was unavailable to this VM, then to all VMs", func(n int) bool { return n < 6 }},
+		{"the store was unavailable to all VMs, and available again to others a second earlier", func(n int) bool { return n >= seconds-1 }},
+		{"the same, two seconds earlier", func(n int) bool { return n >= seconds-2 }},
+		{"the store was unavailable to all VMs for five seconds in between", func(n int) bool { return n < 4 || n >= seconds-1 }},
 	} {
 		now := timer.Instant(time.Hour)
 		r := registrar.New(decode, logger.Discard())
@@ -111,8 +118,10 @@
 			subscriber.NewRecord("b", []byte("bookings ready 1"), 2),
 		})
 		r.StoreLost(now)
-		for _, answered := range c.peers {
-			r.PeerStoreStatus(now, answered)
+		for n := range seconds {
+			if c.answered(n) {
+				r.PeerReached(now)
+			}
 			now = now.Add(time.Second)
 			r.StoreLost(now)
 		}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -34,8 +34,8 @@
 	// StoreReached records that the store answered this VM, and StoreLost that it did not.
 	StoreReached(now timer.Instant)
 	StoreLost(now timer.Instant)
-	// PeerStoreStatus records whether the store answers another VM.
-	PeerStoreStatus(now timer.Instant, answered bool)
+	// PeerReached records that the store answered another VM lately.
+	PeerReached(now timer.Instant)
 }
 
 // peers are the other VMs of the fleet.
@@ -153,11 +153,11 @@
 	}
 }
 
-// NotePeerStoreStatus records whether the store answers another VM.
-func (s *Subscriber) NotePeerStoreStatus(answered bool) {
+// NotePeerReached records that the store answered another VM lately.
+func (s *Subscriber) NotePeerReached() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.view.PeerStoreStatus(s.clock.Now(), answered)
+	s.view.PeerReached(s.clock.Now())
 }
 
 // ApplyForwarded applies records between the offsets that another VM read, where they are
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -121,8 +121,8 @@
 // StoreReached does nothing.
 func (v *view) StoreReached(timer.Instant) {}
 
-// PeerStoreStatus does nothing.
-func (v *view) PeerStoreStatus(timer.Instant, bool) {}
+// PeerReached does nothing.
+func (v *view) PeerReached(timer.Instant) {}
 
 // StoreLost writes that a call of the store failed.
 func (v *view) StoreLost(timer.Instant) { v.out.add("  lost") }
