Confine a panic to the request, report or record that causes it

Cause: nothing recovered from a panic; one datagram, record or request on which the code panics ended the process with all its requests. Change: package recoverer turns a panic into a typed error with its stack. The listener answers 500 with an unknown outcome, the gossiper drops the datagram, registrar and adopter skip the record, the writer of a large request fails its attempt; event 107 is logged. The connection and the open attempt are given back also then.

--- a/internal/adopter/adopter.go
+++ b/internal/adopter/adopter.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/recoverer"
 	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
@@ -88,7 +89,7 @@
 func (a *Adopter) StoreLost(timer.Instant) {}
 
 func (a *Adopter) apply(r subscriber.Record) {
-	m, err := a.decode(r.Value())
+	m, err := recoverer.Call(func() (*manifester.Manifest, error) { return a.decode(r.Value()) })
 	if err == nil && m.Version() == a.Manifest().Version() {
 		return // The same record was read twice.
 	}
--- a/internal/assembler/caller_limits.go
+++ b/internal/assembler/caller_limits.go
@@ -32,5 +32,6 @@
 		Dialect: d,
 		Memory:  p.bodies,
 		Clock:   p.timers,
+		Logger:  p.logger,
 	})
 }
--- a/internal/filterer/place.go
+++ b/internal/filterer/place.go
@@ -74,15 +74,17 @@
 	}
 	x.SetTarget(a.Member().Target())
 	x.SetRiskAndTrial(a.Risk(), a.Trial())
+	result := placer.Result{}
+	defer func() { // Also after a panic, or the attempt would count as open for good.
+		ended := p.clock.Now()
+		p.placer.End(ended, a, result)
+		p.meter.Attempted(a.Member().Target().Name(), ended.Sub(begun))
+	}()
 	previous := x.Attempt()
 	err := next.Serve(ctx, x)
-	result := placer.Result{}
 	if last := x.Attempt(); last != nil && last != previous {
 		result = placementResult(last)
 	}
-	ended := p.clock.Now()
-	p.placer.End(ended, a, result)
-	p.meter.Attempted(a.Member().Target().Name(), ended.Sub(begun))
 
 	return err
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -97,13 +97,7 @@
 	if fault != handler.FaultNone {
 		return unsent(target, fault)
 	}
-	stop := context.AfterFunc(ctx, c.abort)
-	a := t.roundTrip(ctx, c, x)
-	if !stop() || !c.usable() {
-		t.pool.discard(target.Address(), c)
-	} else {
-		t.pool.putIdle(target.Address(), c)
-	}
+	a := t.exchange(ctx, c, x)
 	if a.Fault() != handler.FaultNone && a.MayHaveRun() {
 		// The cause of the failure may have broken the idle connections too.
 		t.pool.closeIdle(target.Address())
@@ -112,6 +106,22 @@
 	return a
 }
 
+// exchange sends the request on the connection, and returns the connection to the pool or
+// closes it, also after a panic.
+func (t *Transport) exchange(ctx context.Context, c *connection, x *handler.Exchange) *handler.Attempt {
+	address := x.Target().Address()
+	stop := context.AfterFunc(ctx, c.abort)
+	defer func() {
+		if !stop() || !c.usable() {
+			t.pool.discard(address, c)
+		} else {
+			t.pool.putIdle(address, c)
+		}
+	}()
+
+	return t.roundTrip(ctx, c, x)
+}
+
 // reusePolicy defines which connections a request may use.
 type reusePolicy int
 
--- a/internal/forwarder/writer.go
+++ b/internal/forwarder/writer.go
@@ -5,6 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/recoverer"
 )
 
 // requestWriter writes one request. A request with a large body is written while its
@@ -34,12 +36,13 @@
 
 func (w *requestWriter) write(req *fasthttp.Request) {
 	defer close(w.done)
-	if err := req.Write(w.conn.writer); err != nil {
-		w.err = errors.Wrap(err, "writing the request")
+	w.err = recoverer.Do(func() error {
+		if err := req.Write(w.conn.writer); err != nil {
+			return errors.Wrap(err, "writing the request")
+		}
 
-		return
-	}
-	w.err = errors.Wrap(w.conn.writer.Flush(), "sending the request")
+		return errors.Wrap(w.conn.writer.Flush(), "sending the request")
+	})
 }
 
 // awaitResponse waits for the first byte of the response. After a failure to write a
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -1,11 +1,15 @@
 package gossiper
 
 import (
+	"bytes"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
@@ -115,3 +119,50 @@
 		t.Fatal("deadlock between a reporting round and a record of the VM list")
 	}
 }
+
+// faultyCodec panics on the datagram "fault" and refuses "bad"; any other one is a report
+// of a VM that leaves.
+type faultyCodec struct{ emptyCodec }
+
+// Decode decodes the datagram.
+func (faultyCodec) Decode(data []byte) (*Report, error) {
+	switch string(data) {
+	case "fault":
+		var list []int
+
+		return nil, errors.Newf("%d", list[len(data)])
+	case "bad":
+		return nil, errors.New("not a report")
+	default:
+		return NewReport(ReportSpec{
+			StartID:  1,
+			Sequence: 1,
+			Leaving:  true,
+		}), nil
+	}
+}
+
+// TestFaultyDatagrams checks that datagrams that cannot be decoded, or on which the code
+// panics, are logged and that the next report is applied.
+func TestFaultyDatagrams(t *testing.T) {
+	var log bytes.Buffer
+	g := New(Spec{
+		Self:      "127.0.0.1:1",
+		Codec:     faultyCodec{},
+		Clock:     timer.NewManual(0),
+		Tallier:   tallier.New(0, noLimits{}),
+		Estimator: estimator.New(discardChanges{}),
+		Logger:    logger.New(&log, logger.FormatLogfmt, "vm"),
+	})
+	for _, data := range []string{"fault", "bad", "report"} {
+		g.receive("127.0.0.1:2", []byte(data))
+	}
+	if n := len(g.peers.byAddress); n != 1 {
+		t.Errorf("%d peers are known after one report, want 1", n)
+	}
+	for _, event := range []string{"name=panicked", "name=report-skipped"} {
+		if n := strings.Count(log.String(), event); n != 1 {
+			t.Errorf("%s was logged %d times, want once:\n%s", event, n, &log)
+		}
+	}
+}
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/recoverer"
 	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -22,13 +23,27 @@
 		if err != nil {
 			continue // The peer's host refused an earlier datagram.
 		}
-		r, err := g.spec.Codec.Decode(buffer[:n])
-		if err != nil {
-			g.spec.Logger.Log(logger.ReportSkipped, logger.Text("from", from.String()), logger.Failure(err))
+		g.receive(from.String(), buffer[:n])
+	}
+}
 
-			continue
+// receive handles one datagram. A panic costs only this datagram.
+func (g *Gossiper) receive(from string, data []byte) {
+	err := recoverer.Do(func() error {
+		r, err := g.spec.Codec.Decode(data)
+		if err != nil {
+			return errors.Wrap(err, "decoding a report")
 		}
-		g.handleReport(from.String(), r)
+		g.handleReport(from, r)
+
+		return nil
+	})
+	var p *recoverer.PanicError
+	switch {
+	case errors.As(err, &p):
+		g.spec.Logger.Log(logger.Panicked, logger.Text("from", from), logger.Failure(err))
+	case err != nil:
+		g.spec.Logger.Log(logger.ReportSkipped, logger.Text("from", from), logger.Failure(err))
 	}
 }
 
--- a/internal/listener/body_test.go
+++ b/internal/listener/body_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
@@ -75,6 +76,7 @@
 		Limits:  limits,
 		Dialect: handler.DefaultDialect(),
 		Clock:   timer.NewService(),
+		Logger:  logger.Discard(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -18,6 +18,8 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/encoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/recoverer"
 	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
@@ -50,6 +52,8 @@
 type Listener struct {
 	chain handler.Handler
 	clock clock
+	// logger logs requests on which the chain panicked.
+	logger *logger.Logger
 	// dialect determines whether paths are passed on as received, and whether
 	// Retry-After may have a fraction.
 	dialect *handler.Dialect
@@ -82,6 +86,7 @@
 	Memory  *reserver.Reserver
 	Dialect *handler.Dialect
 	Clock   clock
+	Logger  *logger.Logger
 }
 
 // New returns a Listener that serves once Run is called.
@@ -95,6 +100,7 @@
 		connections:     newRegistry(),
 		chain:           s.Chain,
 		clock:           s.Clock,
+		logger:          s.Logger,
 		dialect:         s.Dialect,
 		ln:              s.Socket,
 		base:            context.Background(),
@@ -203,7 +209,7 @@
 	x := handler.NewExchange(l.newRequest(c, body), l.clock.Now())
 	x.Hold(reserved)
 	ctx, w := watch(l.base, c.Conn())
-	err = l.chain.Serve(ctx, x)
+	err = l.handle(ctx, x)
 	w.stop()
 	if l.draining.Load() {
 		c.SetConnectionClose()
@@ -217,6 +223,18 @@
 	l.writeResponse(c, x)
 }
 
+// handle passes the exchange to the chain. A panic fails only this request, whose outcome
+// is then unknown.
+func (l *Listener) handle(ctx context.Context, x *handler.Exchange) error {
+	err := recoverer.Do(func() error { return l.chain.Serve(ctx, x) })
+	var p *recoverer.PanicError
+	if errors.As(err, &p) {
+		l.logger.Log(logger.Panicked, logger.Failure(err))
+	}
+
+	return err
+}
+
 // retryAfter formats the time that a caller should wait: in whole seconds, rounded
 // up, as the HTTP standard requires, or with a fraction if callers accept one.
 func (l *Listener) retryAfter(w time.Duration) string {
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
@@ -72,6 +73,7 @@
 		Memory:  reserver.New(1 << 30),
 		Dialect: handler.DefaultDialect(),
 		Clock:   timer.NewService(),
+		Logger:  logger.Discard(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -202,3 +204,28 @@
 	}
 	goldie.New(t).Assert(t, "slow", []byte(out.String()))
 }
+
+// faulty panics on /fault and passes other requests on.
+type faulty struct {
+	next handler.Handler
+}
+
+func (f faulty) Serve(ctx context.Context, x *handler.Exchange) error {
+	if x.Request().Path() == "/fault" {
+		var list []int
+		list[len(x.Request().Path())]++
+	}
+
+	return f.next.Serve(ctx, x)
+}
+
+// TestPanic checks that a panic of the chain fails one request, with an unknown outcome,
+// and that the connection and the listener serve the next one.
+func TestPanic(t *testing.T) {
+	address := startListener(t, faulty{next: echo{}}, longTimeout)
+	text := ""
+	for _, path := range []string{"/a", "/fault", "/b"} {
+		text += "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n"
+	}
+	goldie.New(t).Assert(t, "panic", []byte(sendRaw(t, address, text, true)))
+}
--- a/internal/listener/pipeline_test.go
+++ b/internal/listener/pipeline_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
@@ -102,6 +103,7 @@
 		Limits:  limits,
 		Dialect: handler.DefaultDialect(),
 		Clock:   timer.NewService(),
+		Logger:  logger.Discard(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -52,6 +52,7 @@
 	AnnounceFailed      = Event{number: 305, level: LevelWarn, name: "announce-failed", meaning: "The VM could not write its address to the platform's store; it tries again."}
 	PeerHeard           = Event{number: 306, level: LevelInfo, name: "peer-heard", meaning: "Reports from other VMs arrive, for the first time or again."}
 	PeerLost            = Event{number: 307, level: LevelWarn, name: "peer-lost", meaning: "Reports from other VMs have not arrived for some time; their share of the limits stays reserved for them."}
+	Panicked            = Event{number: 107, level: LevelAlarm, name: "panicked", meaning: "The code panicked on a request, a report or a record, which was dropped; the process goes on. Report the stack that the error holds."}
 	LinesDropped        = Event{number: 106, level: LevelWarn, name: "lines-dropped", meaning: "Log lines were dropped because standard output did not take them in time or returned an error; count is the number of lines dropped since the start."}
 	TargetEjected       = Event{number: 500, level: LevelWarn, name: "target-ejected", meaning: "A target gets trial requests only; scope path means that this holds for this VM alone."}
 	TargetReduced       = Event{number: 501, level: LevelInfo, name: "target-reduced", meaning: "A target gets only a part of its usual requests."}
@@ -76,7 +77,7 @@
 // Events returns every event in ascending order of the numbers.
 func Events() []Event {
 	return []Event{
-		Started, Stopping, Stopped, Failed, SettingsRead, SettingsRefused, LinesDropped,
+		Started, Stopping, Stopped, Failed, SettingsRead, SettingsRefused, LinesDropped, Panicked,
 		ChangeApplied, ChangeSkipped, LogUnavailable, LogAvailable, StateRestored, KeysStale,
 		KeysFresh, LogBehind, SnapshotMissing, SnapshotWritten, SnapshotFailed,
 		StoreLost, StoreRegained, ConfigTaken, ConfigSkipped,
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -14,6 +14,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
 	"github.com/lagoonkeel/lagoonkeel/internal/hasher"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/recoverer"
 	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
@@ -315,7 +316,7 @@
 
 		return
 	}
-	entry, err := r.decode(x.Key(), x.Value())
+	entry, err := recoverer.Call(func() (*Entry, error) { return r.decode(x.Key(), x.Value()) })
 	if err == nil && !entry.draining && len(members) >= maxTargets && members[x.Key()] == nil {
 		err = &ListFullError{}
 	}
