Bound the reports of a VM in a large fleet, and pass relayed records on in data centres

Cause: at 300 VMs each sent a report to every other up to twice a second, about 85 in 100 of its bytes; four VMs sent every change of the list of targets to a quarter of the fleet each, 18 MB within 8 s of a start at 267 VMs. That filled their links of 20 Mbit/s: calls to the store from there timed out, and one such VM took a configuration 3.1 s late. Change: a round has one tick of 0.5 s for each 75 VMs, 8 at most, so that a VM sends about 150 regular reports a second from 75 to 600 VMs; silence is judged by the length of a round. In a partition of more than 15 VMs the VM that relays sends to one VM of each group in a data centre, which passes the records on.

--- a/internal/assembler/announcer.go
+++ b/internal/assembler/announcer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/gossiper"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
@@ -16,22 +17,25 @@
 	Put(ctx context.Context, key string, value []byte) error
 }
 
-// announcer is the controller that publishes this VM's address and id to the other VMs, once.
+// announcer is the controller that publishes this VM's address, id and data centre to the
+// other VMs, once.
 type announcer struct {
 	topic   vmTopic
 	address string
 	id      string
-	timers  *timer.Service
-	logger  *logger.Logger
+	// dataCentre is that of this VM.
+	dataCentre string
+	timers     *timer.Service
+	logger     *logger.Logger
 }
 
 // Name returns the controller's name.
 func (a *announcer) Name() string { return "announcer" }
 
-// Run publishes the address and the id, retries until that succeeds or ctx ends, and returns nil.
+// Run publishes what the announcer has, retries until that succeeds or ctx ends, and returns nil.
 func (a *announcer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := a.topic.Put(ctx, a.address, []byte(a.id))
+		err := a.topic.Put(ctx, a.address, []byte(gossiper.Announcement(a.id, a.dataCentre)))
 		if err == nil {
 			return nil
 		}
--- a/internal/decoder/report.go
+++ b/internal/decoder/report.go
@@ -135,7 +135,7 @@
 			float64(c.octet())/encoder.RiskScale, time.Duration(c.uvarint())*time.Millisecond, time.Duration(c.uvarint())*time.Millisecond))
 	})
 	if flags&encoder.ReportRelay != 0 {
-		spec.Relay = readRelay(c)
+		spec.Relay = readRelay(c, flags&encoder.ReportPassOn != 0)
 	}
 	if c.failed || len(c.rest) > 0 {
 		return nil, &ReportError{
@@ -152,7 +152,7 @@
 	return gossiper.NewPosition(topic, next, flags&encoder.PositionLost != 0, flags&encoder.PositionAnswered != 0)
 }
 
-func readRelay(c *cursor) *gossiper.Relay {
+func readRelay(c *cursor, passOn bool) *gossiper.Relay {
 	topic, from, to := c.uvarint(), subscriber.Offset(c.uvarint()), subscriber.Offset(c.uvarint())
 	var records []subscriber.Record
 	c.list(func() {
@@ -164,7 +164,12 @@
 		records = append(records, subscriber.NewRecord(key, value, offset))
 	})
 
-	return gossiper.NewRelay(topic, from, to, records)
+	var passTo []string
+	if passOn {
+		c.list(func() { passTo = append(passTo, c.text()) })
+	}
+
+	return gossiper.NewRelay(topic, from, to, records, passTo...)
 }
 
 func readMark(c *cursor) quarantiner.Mark {
--- a/internal/decoder/report_test.go
+++ b/internal/decoder/report_test.go
@@ -29,7 +29,7 @@
 		Relay: gossiper.NewRelay(1, 97, 99, []subscriber.Record{
 			subscriber.NewRecord("i-1", []byte(`{"a":1}`), 97),
 			subscriber.NewRecord("i-2", nil, 98),
-		}),
+		}, "10.0.0.1:7000", "10.0.0.2:7000"),
 	})
 }
 
--- a/internal/encoder/report.go
+++ b/internal/encoder/report.go
@@ -17,6 +17,8 @@
 	ReportAsking = 2
 	// ReportRelay is set if the report ends with relayed records.
 	ReportRelay = 4
+	// ReportPassOn is set if addresses follow the relayed records.
+	ReportPassOn = 8
 )
 
 // The bits of a position's flags.
@@ -37,7 +39,8 @@
 	b := []byte{ReportFormat}
 	b = binary.AppendUvarint(b, uint64(r.StartID()))
 	b = binary.AppendUvarint(b, uint64(r.Sequence()))
-	b = append(b, flagBit(r.Leaving(), ReportLeaving)|flagBit(r.RequestsEstimates(), ReportAsking)|flagBit(r.Relay() != nil, ReportRelay))
+	b = append(b, flagBit(r.Leaving(), ReportLeaving)|flagBit(r.RequestsEstimates(), ReportAsking)|
+		flagBit(r.Relay() != nil, ReportRelay)|flagBit(r.Relay() != nil && len(r.Relay().PassTo()) > 0, ReportPassOn))
 	b = binary.AppendUvarint(b, uint64(len(r.Counts())))
 	for _, c := range r.Counts() {
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Account()))
@@ -93,6 +96,13 @@
 		b = appendText(b, x.Key())
 		b = appendText(b, string(x.Value()))
 	}
+	if len(r.PassTo()) == 0 {
+		return b
+	}
+	b = binary.AppendUvarint(b, uint64(len(r.PassTo())))
+	for _, address := range r.PassTo() {
+		b = appendText(b, address)
+	}
 
 	return b
 }
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,27 +24,30 @@
 )
 
 const (
-	// reportInterval is the length of a round. A VM sends at most one regular
-	// report in each round.
-	reportInterval = 500 * time.Millisecond
-	// heartbeatRounds is the number of rounds between the reports of a VM that has
-	// nothing to report, which show the others that it is alive.
-	heartbeatRounds = 2
-	// warmUpRounds is the number of rounds that a VM needs after its start to
-	// receive reports from the VMs that run already.
-	warmUpRounds = 2
+	// tickInterval is the length of a tick. A round has one tick, or more in a large
+	// fleet; see roundTicks. A VM sends at most one regular report in each round.
+	tickInterval = 500 * time.Millisecond
+	// heartbeatTicks is the number of ticks after which a VM that has nothing to report
+	// sends a report at its next round, which shows the others that it is alive.
+	heartbeatTicks = 2
+	// warmUpTicks is the number of ticks that a VM needs after its start to receive
+	// reports from the VMs that run already.
+	warmUpTicks = 2
 	// broadcastRounds is the number of rounds between the reports that go to all
 	// known VMs, also to those that have not been heard within goneTimeout.
 	broadcastRounds = 8
 	// answeredTime is the time for which reports state that the store answered a call. It
-	// is two rounds, since a report may be lost or left out.
-	answeredTime = 2 * reportInterval
+	// is two ticks, since a report may be lost or left out.
+	answeredTime = 2 * tickInterval
 	// maxDatagram is the size, in bytes, of the buffer that reports are received in.
 	maxDatagram = 8 << 10
 	// maxEvidence and maxEstimates bound the lists of one report, so that it fits
 	// one packet.
 	maxEvidence  = 200
 	maxEstimates = 120
+	// maxDirectRelays is the number of VMs up to which a VM relays records to each of
+	// them itself.
+	maxDirectRelays = 15
 	// maxRelay bounds, in bytes, the records that one report relays.
 	maxRelay = 1200
 	// maxEstimateRequests bounds how often a new VM requests risk estimates from
@@ -130,7 +134,11 @@
 	mu       sync.Mutex
 	peers    *peerTable
 	sequence uint32
+	// ticks and rounds count those since the start. lastSent is the tick of the last
+	// regular report.
+	ticks    int
 	rounds   int
+	lastSent int
 	// previousPositions are the positions of this VM as of the last round. They are
 	// reported one round late, so that relayed records reach the others first.
 	previousPositions []Position
@@ -175,7 +183,7 @@
 		defer close(ended)
 		g.receiveReports()
 	}()
-	g.spec.Clock.Every(reportInterval).Each(ctx, g.runRound)
+	g.spec.Clock.Every(tickInterval).Each(ctx, g.tick)
 	g.announceLeaving()
 	err := g.spec.Conn.Close()
 	<-ended
@@ -261,11 +269,25 @@
 	defer g.mu.Unlock()
 	for _, r := range records {
 		if _, err := netip.ParseAddrPort(r.Key()); err == nil && r.Key() != g.spec.Self && !r.Removed() {
-			g.peers.add(now, r.Key())
+			g.peers.add(now, r.Key()).dataCentre = dataCentreOf(string(r.Value()))
 		}
 	}
 }
 
+// Announcement returns the value under which a VM lists its address: its id and its data
+// centre.
+func Announcement(id, dataCentre string) string { return id + " " + dataCentre }
+
+// dataCentreOf returns the data centre in an announcement, or "" where there is none.
+func dataCentreOf(announcement string) string {
+	i := strings.LastIndexByte(announcement, ' ')
+	if i < 0 {
+		return ""
+	}
+
+	return announcement[i+1:]
+}
+
 // StoreReached does nothing.
 func (g *Gossiper) StoreReached(timer.Instant) {}
 
--- a/internal/gossiper/peers.go
+++ b/internal/gossiper/peers.go
@@ -9,9 +9,16 @@
 )
 
 const (
-	// silenceTimeout is the time without a report after which a VM no longer counts
-	// as heard.
-	silenceTimeout = 1600 * time.Millisecond
+	// silenceSlack is the time, beyond that of two rounds, without a report after which
+	// a VM no longer counts as heard.
+	silenceSlack = 600 * time.Millisecond
+	// vmsPerTick is the number of VMs for each tick of a round. A VM thus gets about as
+	// many regular reports in a second however large the fleet is.
+	vmsPerTick = 75
+	// maxRoundTicks bounds the length of a round, since limits are shared less evenly
+	// in long rounds. In a fleet of more than maxRoundTicks x vmsPerTick VMs the number
+	// of reports grows with the fleet.
+	maxRoundTicks = 8
 	// maxFirstSequence is the greatest sequence number of the first report that
 	// arrives from a VM which counts as heard since its start; earlier ones may be
 	// lost.
@@ -21,9 +28,22 @@
 	goneTimeout = 12 * time.Second
 )
 
+// roundTicks returns the number of ticks of a round in a fleet of the given number of VMs.
+func roundTicks(vms int) int {
+	return min(max(1, (vms+vmsPerTick-1)/vmsPerTick), maxRoundTicks)
+}
+
+// silenceTimeout returns the time without a report after which a VM no longer counts as
+// heard, in a fleet of the given number of VMs.
+func silenceTimeout(vms int) time.Duration {
+	return time.Duration(2*roundTicks(vms))*tickInterval + silenceSlack
+}
+
 // peer is another VM.
 type peer struct {
 	address string
+	// dataCentre is "" where it is not known.
+	dataCentre string
 	// lastHeard is when its last report arrived; 0 before the first one.
 	lastHeard timer.Instant
 	// added is when this VM learned its address.
@@ -50,11 +70,14 @@
 type peerTable struct {
 	// byAddress never loses an entry.
 	byAddress map[string]*peer
+	// silence is the time without a report after which a VM no longer counts as heard.
+	silence time.Duration
 }
 
 func newPeerTable() *peerTable {
 	return &peerTable{
 		byAddress: map[string]*peer{},
+		silence:   silenceTimeout(1),
 	}
 }
 
@@ -118,16 +141,16 @@
 	return c.Requested() - last.Requested(), c.Used() - last.Used()
 }
 
-// isHeard reports whether a report of the peer arrived within silenceTimeout.
-func (p *peer) isHeard(now timer.Instant) bool {
-	return p.lastHeard != 0 && now.Sub(p.lastHeard) <= silenceTimeout
+// isHeard reports whether the peer's reports arrive.
+func (t *peerTable) isHeard(now timer.Instant, p *peer) bool {
+	return p.lastHeard != 0 && now.Sub(p.lastHeard) <= t.silence
 }
 
 // heardChanges returns the addresses of VMs that are newly heard and of those that
 // are no longer heard, both since the last call.
 func (t *peerTable) heardChanges(now timer.Instant) (heard, lost []string) {
 	for _, p := range t.byAddress {
-		isHeard := p.isHeard(now) && !p.left
+		isHeard := t.isHeard(now, p) && !p.left
 		switch {
 		case isHeard && !p.loggedAsHeard:
 			heard = append(heard, p.address)
@@ -155,7 +178,7 @@
 	heard, known, absent := 1, 1, 0
 	for _, p := range t.byAddress {
 		switch {
-		case p.isHeard(now) && !p.left:
+		case t.isHeard(now, p) && !p.left:
 			heard++
 			known++
 		case p.left || now.Sub(max(p.lastHeard, p.added)) > goneTimeout:
@@ -178,7 +201,7 @@
 func (t *peerTable) openRequests(now timer.Instant) map[estimator.Key]int {
 	open := map[estimator.Key]int{}
 	for _, p := range t.byAddress {
-		if !p.isHeard(now) {
+		if !t.isHeard(now, p) {
 			continue
 		}
 		for _, l := range p.loads {
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -123,6 +123,7 @@
 // of the topics.
 func (g *Gossiper) updateReaders(r *Report) {
 	if q := r.relay; q != nil && int(q.topic) < len(g.readers) {
+		g.passOn(q)
 		g.readers[q.topic].ApplyForwarded(q.from, q.to, q.records)
 	}
 	for _, q := range r.positions {
--- /dev/null
+++ b/internal/gossiper/relay_test.go
@@ -0,0 +1,150 @@
+package gossiper
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
+	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+)
+
+// countingConn counts the datagrams that are sent, by destination.
+type countingConn struct {
+	net.PacketConn
+	sent map[string]int
+}
+
+// WriteTo counts the datagram.
+func (c *countingConn) WriteTo(_ []byte, to net.Addr) (int, error) {
+	c.sent[to.String()]++
+
+	return 0, nil
+}
+
+// simulatedVM is the gossiper of one VM in a fleet in five data centres.
+type simulatedVM struct {
+	gossiper *Gossiper
+	conn     *countingConn
+	// addresses are those of all VMs, that of this one first.
+	addresses []string
+}
+
+// newSimulatedVM returns a VM of a fleet of the size that knows the others and has heard
+// them at the instant.
+func newSimulatedVM(now timer.Instant, size int) *simulatedVM {
+	v := &simulatedVM{
+		conn: &countingConn{sent: map[string]int{}},
+	}
+	var records []subscriber.Record
+	for i := range size {
+		address := fmt.Sprintf("10.%d.%d.%d:7000", i%5, i/200, i%200)
+		v.addresses = append(v.addresses, address)
+		records = append(records, subscriber.NewRecord(address, []byte(Announcement("a vm", fmt.Sprint("dc-", i%5))), 0))
+	}
+	v.gossiper = New(Spec{
+		Conn:      v.conn,
+		Self:      v.addresses[0],
+		Codec:     emptyCodec{},
+		Clock:     timer.NewManual(now),
+		Tallier:   tallier.New(now, noLimits{}),
+		Estimator: estimator.New(discardChanges{}),
+		Loads:     func() []Load { return nil },
+		Logger:    logger.Discard(),
+	})
+	v.gossiper.estimateRequestsLeft = 0
+	v.gossiper.Update(now, records)
+	for _, p := range v.gossiper.peers.byAddress {
+		p.lastHeard = now
+	}
+
+	return v
+}
+
+// TestRoundLength compares the length of rounds, and the number of regular reports that an
+// idle VM sends in a second, with the golden file, for fleets of several sizes.
+func TestRoundLength(t *testing.T) {
+	const seconds = 24
+	var out bytes.Buffer
+	for _, size := range []int{2, 17, 57, 75, 76, 150, 300, 600, 2300} {
+		now := timer.Instant(time.Hour)
+		v := newSimulatedVM(now, size)
+		for range seconds * int(time.Second/tickInterval) {
+			now = now.Add(tickInterval)
+			for _, p := range v.gossiper.peers.byAddress {
+				p.lastHeard = now
+			}
+			v.gossiper.tick(now)
+		}
+		total := 0
+		for _, n := range v.conn.sent {
+			total += n
+		}
+		fmt.Fprintf(&out, "%d VMs: a round of %v, silent after %v, %.0f reports a second\n", size,
+			time.Duration(roundTicks(size))*tickInterval, silenceTimeout(size), math.Round(float64(total)/seconds))
+	}
+	goldie.New(t).Assert(t, "rounds", out.Bytes())
+}
+
+// TestRelayGroups checks that the groups of a partition hold each of its VMs once and only
+// VMs of one data centre, and compares with the golden file what the VM that relays and
+// the first VM of a group send, and how many datagrams leave a data centre.
+func TestRelayGroups(t *testing.T) {
+	const partitions = 4
+	var out bytes.Buffer
+	for _, size := range []int{17, 57, 100, 300, 1000} {
+		now := timer.Instant(time.Hour)
+		v := newSimulatedVM(now, size)
+		seen := map[string]int{}
+		sent, largest, crossing := 0, 0, 0
+		for number := range partitions {
+			groups := v.gossiper.relayGroups(now, subscriber.NewPartition(number, partitions))
+			sent = max(sent, len(groups))
+			for _, group := range groups {
+				largest = max(largest, len(group)-1)
+				dataCentre := v.gossiper.peers.byAddress[group[0]].dataCentre
+				for _, a := range group {
+					seen[a]++
+					if v.gossiper.peers.byAddress[a].dataCentre != dataCentre {
+						t.Errorf("%d VMs: a group has VMs of several data centres", size)
+					}
+				}
+				if dataCentre != "dc-0" {
+					crossing++
+				}
+			}
+		}
+		for _, a := range v.addresses[1:] {
+			if seen[a] != 1 {
+				t.Errorf("%d VMs: %s is in %d groups", size, a, seen[a])
+			}
+		}
+		fmt.Fprintf(&out, "%d VMs: the VM that relays sends at most %d, the first of a group %d, %d leave its data centre\n", size, sent, largest, crossing)
+	}
+	goldie.New(t).Assert(t, "relay_groups", out.Bytes())
+}
+
+// TestPassOn checks that the receiver of a relay passes it on to the VMs that it knows
+// among those named, once, and applies it.
+func TestPassOn(t *testing.T) {
+	v := newSimulatedVM(timer.Instant(time.Hour), 4)
+	v.gossiper.SetReaders(&lockedReader{g: v.gossiper})
+	r := NewReport(ReportSpec{
+		StartID:  1,
+		Sequence: 1,
+		Relay:    NewRelay(0, 0, 1, nil, v.addresses[1], v.addresses[2], "10.9.9.9:7000"),
+	})
+	v.gossiper.handleReport(v.addresses[3], r)
+	v.gossiper.handleReport(v.addresses[3], r)
+	if len(v.conn.sent) != 2 || v.conn.sent[v.addresses[1]] != 1 || v.conn.sent[v.addresses[2]] != 1 {
+		t.Errorf("sent %v, want one datagram to each of the two known VMs", v.conn.sent)
+	}
+}
--- a/internal/gossiper/report.go
+++ b/internal/gossiper/report.go
@@ -85,18 +85,34 @@
 	topic    uint32
 	from, to subscriber.Offset
 	records  []subscriber.Record
+	// passTo holds the addresses of VMs to which the receiver passes the records on.
+	passTo []string
 }
 
-// NewRelay returns a relay of the topic with the given number.
-func NewRelay(topic uint32, from, to subscriber.Offset, records []subscriber.Record) *Relay {
+// passedOnTo returns a copy with the addresses of VMs to which the receiver passes the
+// records on.
+func (r *Relay) passedOnTo(addresses []string) *Relay {
+	c := *r
+	c.passTo = addresses
+
+	return &c
+}
+
+// NewRelay returns a relay of the topic with the given number, which the receiver passes
+// on to the VMs with the addresses.
+func NewRelay(topic uint32, from, to subscriber.Offset, records []subscriber.Record, passTo ...string) *Relay {
 	return &Relay{
 		topic:   topic,
 		from:    from,
 		to:      to,
 		records: records,
+		passTo:  passTo,
 	}
 }
 
+// PassTo returns the addresses of VMs to which the receiver passes the records on.
+func (r *Relay) PassTo() []string { return r.passTo }
+
 // Topic returns the number of the topic.
 func (r *Relay) Topic() uint32 { return r.topic }
 
--- a/internal/gossiper/send.go
+++ b/internal/gossiper/send.go
@@ -40,9 +40,26 @@
 	}
 }
 
-// runRound sends the regular report and updates the counts of VMs.
-func (g *Gossiper) runRound(now timer.Instant) {
+// tick updates the counts of VMs, and runs a round once every roundTicks.
+func (g *Gossiper) tick(now timer.Instant) {
 	g.requestEstimates()
+	g.mu.Lock()
+	g.ticks++
+	c := g.peers.countVMs(now)
+	g.peers.silence = silenceTimeout(c.known)
+	newlyHeard, lost := g.peers.heardChanges(now)
+	due := g.ticks == 1 || g.ticks%roundTicks(c.known) == 0
+	g.mu.Unlock()
+	g.vmCounts.Store(&c)
+	g.spec.Tallier.SetVMCounts(c.heard, c.known)
+	g.logPeerChanges(newlyHeard, lost, c)
+	if due {
+		g.runRound(now)
+	}
+}
+
+// runRound sends the regular report.
+func (g *Gossiper) runRound(now timer.Instant) {
 	counts := g.spec.Tallier.StartRound(now)
 	open := g.spec.Loads()
 	positions := g.positions() // Before the lock, as a reader calls the gossiper under its own lock.
@@ -57,13 +74,11 @@
 	if g.rounds%broadcastRounds == 0 {
 		to = g.allPeers()
 	}
-	c := g.peers.countVMs(now)
-	newlyHeard, lost := g.peers.heardChanges(now)
-	idle := len(counts) == 0 && len(open) == 0 && len(r.evidence) == 0 && g.rounds%heartbeatRounds != 0
+	idle := len(counts) == 0 && len(open) == 0 && len(r.evidence) == 0 && g.ticks-g.lastSent < heartbeatTicks
+	if !idle {
+		g.lastSent = g.ticks
+	}
 	g.mu.Unlock()
-	g.vmCounts.Store(&c)
-	g.spec.Tallier.SetVMCounts(c.heard, c.known)
-	g.logPeerChanges(newlyHeard, lost, c)
 	if !idle {
 		g.send(r, to)
 	}
--- a/internal/gossiper/topics.go
+++ b/internal/gossiper/topics.go
@@ -2,10 +2,12 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/hasher"
 	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
 // SetReaders sets the readers of the topics whose positions are reported and whose
@@ -23,12 +25,12 @@
 	own := hasher.Sum(topic, g.spec.Self)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.rounds < warmUpRounds && len(g.peers.byAddress) > 0 {
+	if g.ticks < warmUpTicks && len(g.peers.byAddress) > 0 {
 		return math.MaxInt
 	}
 	n := 0
 	for _, p := range g.peers.byAddress {
-		if p.isHeard(now) && !p.left && !p.storeLost[uint32(i)] && hasher.Sum(topic, p.address) < own { //nolint:gosec // There are only a few topics.
+		if g.peers.isHeard(now, p) && !p.left && !p.storeLost[uint32(i)] && hasher.Sum(topic, p.address) < own { //nolint:gosec // There are only a few topics.
 			n++
 		}
 	}
@@ -42,7 +44,8 @@
 }
 
 // Forward relays records of a topic to the given partition of the VMs, in as many
-// reports as are needed. Where a record does not fit a packet, the VMs get only the
+// reports as are needed. In a large fleet, some of these VMs pass the records on to others
+// in their data centre. Where a record does not fit a packet, the VMs get only the
 // position of this one, and read the records from the store themselves.
 func (g *Gossiper) Forward(topic string, partition subscriber.Partition, from, to subscriber.Offset, records []subscriber.Record) {
 	i := g.index(topic)
@@ -52,19 +55,80 @@
 	positions := g.positions()
 	relays := splitRelays(uint32(i), from, to, records) //nolint:gosec // There are only a few topics.
 	g.mu.Lock()
-	recentPeers := slices.DeleteFunc(g.recentPeers(g.spec.Clock.Now()), func(a string) bool { return !partition.Contains(hasher.Sum(a)) })
+	groups := g.relayGroups(g.spec.Clock.Now(), partition)
+	g.mu.Unlock()
+	var direct []string
+	for _, group := range groups {
+		if len(group) == 1 || len(relays) == 0 {
+			direct = append(direct, group...)
+		} else {
+			g.sendRelays(relays, positions, group[1:], group[:1])
+		}
+	}
+	g.sendRelays(relays, positions, nil, direct)
+}
+
+// sendRelays sends the relays, and the positions with the last of them, to VMs, which
+// pass the records on to those in passTo.
+func (g *Gossiper) sendRelays(relays []*Relay, positions []Position, passTo, to []string) {
 	reports := make([]*Report, max(1, len(relays)))
+	g.mu.Lock()
 	for k := range reports {
 		reports[k] = g.newReport()
 	}
+	g.mu.Unlock()
 	for k, y := range relays {
-		reports[k].relay = y
+		reports[k].relay = y.passedOnTo(passTo)
 	}
 	reports[len(reports)-1].positions = positions
-	g.mu.Unlock()
 	for _, r := range reports {
-		g.send(r, recentPeers)
+		g.send(r, to)
+	}
+}
+
+// relayGroups divides the VMs of the partition that were heard lately into groups in one
+// data centre each. The first VM of a group passes records on to the others. The size of a
+// group is about the square root of the number of VMs, so that no VM sends to many, and 1
+// in a partition of up to maxDirectRelays VMs. The lock must be held.
+func (g *Gossiper) relayGroups(now timer.Instant, partition subscriber.Partition) [][]string {
+	var members []*peer
+	for _, a := range g.recentPeers(now) {
+		if partition.Contains(hasher.Sum(a)) {
+			members = append(members, g.peers.byAddress[a])
+		}
+	}
+	size := 1
+	if len(members) > maxDirectRelays {
+		size = int(math.Ceil(math.Sqrt(float64(len(members)))))
+	}
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] }) // No VM is the first of a group each time.
+	open := map[string]int{}                                                                       // The last group of each data centre.
+	var groups [][]string
+	for _, p := range members {
+		i, ok := open[p.dataCentre]
+		if !ok || len(groups[i]) >= size {
+			i = len(groups)
+			groups = append(groups, nil)
+			open[p.dataCentre] = i
+		}
+		groups[i] = append(groups[i], p.address)
 	}
+
+	return groups
+}
+
+// passOn sends relayed records on to the VMs that the sender named, as far as they are
+// known.
+func (g *Gossiper) passOn(r *Relay) {
+	if len(r.passTo) == 0 {
+		return
+	}
+	g.mu.Lock()
+	next := g.newReport()
+	next.relay = r.passedOnTo(nil)
+	to := slices.DeleteFunc(slices.Clone(r.passTo), func(a string) bool { return g.peers.byAddress[a] == nil })
+	g.mu.Unlock()
+	g.send(next, to)
 }
 
 // splitRelays divides records into relays that fit one packet each. It returns nil
