Recognize a second copy of a response in the project's own dialect

Cause: the platform's targets repeat the id of a request; upstreams of the own dialect did not, so that a late second copy of a response on a connection that was in use again became the response to the next request. Change: each attempt has an id that the upstream repeats. A connection to an upstream that does not repeat it carries one request only.

--- a/internal/forwarder/codec.go
+++ b/internal/forwarder/codec.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"bytes"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -22,6 +24,8 @@
 	stateDraining   = "draining"
 	connectionField = "Connection"
 	hostField       = "Host"
+	// idBase is the base in which the ids of attempts are written.
+	idBase = 16
 	// maxRetryAfter bounds the time for which a target gets no requests because it
 	// asked for none.
 	maxRetryAfter = 5 * time.Minute
@@ -47,6 +51,9 @@
 	if d.ExpectTarget() != "" {
 		req.Header.Set(d.ExpectTarget(), target.Name())
 	}
+	if d.AttemptID() != "" {
+		req.Header.Set(d.AttemptID(), strconv.FormatUint(rand.Uint64(), idBase)) //nolint:gosec // Tells attempts apart; not a secret.
+	}
 	req.SetBodyRaw(r.Body())
 }
 
@@ -70,16 +77,27 @@
 	req.Header.SetHost(r.Fields().Get(hostField))
 }
 
-// hasOtherRequestID reports whether the response carries the id of another
-// request. A target repeats the id of the request to which it responds.
-func hasOtherRequestID(d *handler.Dialect, r *handler.Request, resp *fasthttp.Response) bool {
-	if d.RequestID() == "" {
+// hasOtherID reports whether the response carries the id of another request or of
+// another attempt. A target repeats the ids of the request to which it responds.
+func hasOtherID(d *handler.Dialect, req *fasthttp.Request, resp *fasthttp.Response) bool {
+	return differs(d.RequestID(), req, resp) || differs(d.AttemptID(), req, resp)
+}
+
+// differs reports whether the field has different values in the request and in the
+// response, and is in both.
+func differs(name string, req *fasthttp.Request, resp *fasthttp.Response) bool {
+	if name == "" {
 		return false
 	}
-	id := r.Fields().Get(d.RequestID())
-	echoed := resp.Header.Peek(d.RequestID())
+	sent, echoed := req.Header.Peek(name), resp.Header.Peek(name)
+
+	return len(sent) > 0 && len(echoed) > 0 && !bytes.Equal(sent, echoed)
+}
 
-	return id != "" && len(echoed) > 0 && string(echoed) != id
+// recognizable reports whether a second copy of the response would be recognized on its
+// connection.
+func recognizable(d *handler.Dialect, resp *fasthttp.Response) bool {
+	return d.AttemptID() == "" || len(resp.Header.Peek(d.AttemptID())) > 0
 }
 
 // lacksSignature reports whether a 2xx response lacks the field that shows that it
@@ -119,13 +137,13 @@
 }
 
 // copyResponse returns a complete response with the body and copies of the fields,
-// without hop-by-hop fields and handler.OutcomeField.
-func copyResponse(resp *fasthttp.Response, body []byte) *handler.Response {
+// without hop-by-hop fields, handler.OutcomeField and the id of the attempt.
+func copyResponse(d *handler.Dialect, resp *fasthttp.Response, body []byte) *handler.Response {
 	a := handler.NewResponse(resp.StatusCode(), body)
 	listed := string(resp.Header.Peek(connectionField))
 	for k, v := range resp.Header.All() {
 		name := string(k)
-		if !isHopByHop(name, listed) && !strings.EqualFold(name, handler.OutcomeField) {
+		if !isHopByHop(name, listed) && !strings.EqualFold(name, handler.OutcomeField) && !strings.EqualFold(name, d.AttemptID()) {
 			a.Fields().Add(name, string(v))
 		}
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -185,11 +185,11 @@
 
 		return t.failed(ctx, c, x.Target(), start, err)
 	}
-	if hasOtherRequestID(t.dialect, x.Request(), resp) || lacksSignature(t.dialect, resp) {
+	if hasOtherID(t.dialect, req, resp) || lacksSignature(t.dialect, resp) {
 		return handler.NewFailedAttempt(x.Target(), handler.FaultMalformed,
 			handler.NewUnknownOutcome(handler.CodeUpstream, "the target's answer belongs to another request or lacks its mark")).SetTiming(firstByte, c.reused)
 	}
-	if !resp.ConnectionClose() && c.reader.Buffered() == 0 && w.written() {
+	if !resp.ConnectionClose() && c.reader.Buffered() == 0 && w.written() && recognizable(t.dialect, resp) {
 		c.finish()
 	}
 	a := t.completed(x.Target(), resp, body).SetTiming(firstByte, c.reused)
@@ -303,7 +303,7 @@
 			return a
 		}
 
-		return handler.NewCompletedAttempt(target, copyResponse(resp, body))
+		return handler.NewCompletedAttempt(target, copyResponse(t.dialect, resp, body))
 	}
 	if resp.StatusCode() == fasthttp.StatusServiceUnavailable {
 		switch string(resp.Header.Peek(stateField)) {
@@ -315,7 +315,7 @@
 		}
 	}
 
-	return handler.NewCompletedAttempt(target, copyResponse(resp, body))
+	return handler.NewCompletedAttempt(target, copyResponse(t.dialect, resp, body))
 }
 
 // notRun returns a failed attempt if the response reports that the target did
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,6 +39,26 @@
 	opened   atomic.Int64
 	// reply writes the response to request n, counted from 1.
 	reply func(c net.Conn, n int64, r *http.Request)
+	// silent is set if the responses do not repeat the id of the attempt.
+	silent bool
+}
+
+// repeatingConn adds the id of the last attempt to each final response that is written.
+type repeatingConn struct {
+	net.Conn
+	id string
+}
+
+var finalStatus = regexp.MustCompile(`HTTP/1\.[01] [2-5]\d\d [^\r]*\r\n`)
+
+// Write writes the text with the id after each status line.
+func (c *repeatingConn) Write(b []byte) (int, error) {
+	text := finalStatus.ReplaceAllString(string(b), "${0}Lagoonkeel-Attempt-Id: "+c.id+"\r\n")
+	if _, err := io.WriteString(c.Conn, text); err != nil {
+		return 0, err
+	}
+
+	return len(b), nil
 }
 
 func startTarget(t *testing.T, reply func(c net.Conn, n int64, r *http.Request)) *scriptedTarget {
@@ -74,7 +95,12 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
-		f.reply(c, f.requests.Add(1), req)
+		if f.silent {
+			f.reply(c, f.requests.Add(1), req)
+
+			continue
+		}
+		f.reply(&repeatingConn{Conn: c, id: req.Header.Get("Lagoonkeel-Attempt-Id")}, f.requests.Add(1), req)
 	}
 }
 
@@ -92,6 +118,9 @@
 }
 
 func reset(c net.Conn, _ int64, _ *http.Request) {
+	if r, ok := c.(*repeatingConn); ok {
+		c = r.Conn
+	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
@@ -339,3 +368,27 @@
 		t.Errorf("%d complete responses and %d failures; the test needs both", complete.Load(), failed.Load())
 	}
 }
+
+// TestSecondCopy checks that a second copy of a response, which arrives once the connection
+// carries the next request, never becomes the response to that request. Where the target
+// does not repeat the ids of attempts, the connection carries no second request.
+func TestSecondCopy(t *testing.T) {
+	var out bytes.Buffer
+	for _, silent := range []bool{false, true} {
+		f := startTarget(t, func(c net.Conn, _ int64, r *http.Request) {
+			token := r.Header.Get("Token")
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(token), token)
+			if token == "one" {
+				time.Sleep(50 * time.Millisecond) // The next request is on its way by then.
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none")
+			}
+		})
+		f.silent = silent
+		tr, s := newTransport(t, 4)
+		for _, token := range []string{"one", "two", "three"} {
+			a := do(context.Background(), tr, s, attemptSpec{address: f.ln.Addr().String(), idempotent: true, token: token})
+			fmt.Fprintf(&out, "silent=%v, %s: %s reused=%v\n", silent, token, describe(a), a.Reused())
+		}
+	}
+	goldie.New(t).Assert(t, "second_copy", out.Bytes())
+}
--- a/internal/handler/dialect.go
+++ b/internal/handler/dialect.go
@@ -8,6 +8,7 @@
 	timeout      string
 	team         string
 	requestID    string
+	attemptID    string
 	signature    string
 	expectTarget string
 	notRun       string
@@ -32,6 +33,11 @@
 	// RequestID names the field that identifies a caller's request; the target
 	// returns it in its response.
 	RequestID string
+	// AttemptID names the field that identifies an attempt at a target, which returns
+	// it in its response. Where it is set, a connection carries another request only if
+	// the target returned the id of the last attempt on it: a late second copy of that
+	// response is then recognized.
+	AttemptID string
 	// Signature names the field that shows that a response comes from a target.
 	Signature string
 	// ExpectTarget names the field with the target that a request is meant for;
@@ -63,6 +69,7 @@
 		timeout:      s.Timeout,
 		team:         s.Team,
 		requestID:    s.RequestID,
+		attemptID:    s.AttemptID,
 		signature:    s.Signature,
 		expectTarget: s.ExpectTarget,
 		notRun:       s.NotRun,
@@ -87,6 +94,9 @@
 // RequestID returns the name of the field that identifies a request, or "".
 func (d *Dialect) RequestID() string { return d.requestID }
 
+// AttemptID returns the name of the field that identifies an attempt, or "".
+func (d *Dialect) AttemptID() string { return d.attemptID }
+
 // Signature returns the name of the field that shows that a response comes from
 // a target, or "".
 func (d *Dialect) Signature() string { return d.signature }
@@ -122,6 +132,7 @@
 	return NewDialect(DialectSpec{
 		Key:        "Lagoonkeel-Key",
 		Timeout:    "Lagoonkeel-Timeout-Ms",
+		AttemptID:  "Lagoonkeel-Attempt-Id",
 		RetryAfter: "Retry-After",
 	})
 }
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -111,11 +111,15 @@
 	}
 }
 
+// attemptField identifies an attempt at an upstream, which returns it.
+const attemptField = "Lagoonkeel-Attempt-Id"
+
 func (u *Upstream) listRuns(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, u.Runs())
 }
 
 func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(attemptField, r.Header.Get(attemptField))
 	f, admitted := u.startWaiting()
 	if f.Drain || !admitted {
 		state := "shed"
