Authenticate the reports between VMs with a shared key

Cause: a report was believed from any address, so that two fleets on one network mixed their evidence, limits and marks. Datagrams that are skipped are counted (reports.skipped) and logged once a second at most, since anyone may send them. Without keys nothing changes.

--- a/internal/assembler/store_gossip.go
+++ b/internal/assembler/store_gossip.go
@@ -11,6 +11,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/gossiper"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
 	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
+	"github.com/lagoonkeel/lagoonkeel/internal/signer"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
@@ -20,10 +21,12 @@
 	broadcaster := &deferredBroadcaster{}
 	v.quarantine = quarantiner.New(v.timers, broadcaster, v.logger)
 	v.gossiper = gossiper.New(gossiper.Spec{
-		Conn:       conn,
-		Self:       v.settings.Peers(),
-		StartID:    uint32(time.Now().UnixMilli()), //nolint:gosec // It tells two runs apart and may wrap around.
-		Codec:      reportCodec{},
+		Conn:    conn,
+		Self:    v.settings.Peers(),
+		StartID: uint32(time.Now().UnixMilli()), //nolint:gosec // It tells two runs apart and may wrap around.
+		Codec: &reportCodec{
+			signer: signer.New(v.settings.PeerKeys()),
+		},
 		Clock:      v.timers,
 		Tallier:    v.tallier,
 		Estimator:  v.estimator,
@@ -66,14 +69,23 @@
 	}
 }
 
-// reportCodec encodes and decodes reports.
-type reportCodec struct{}
+// reportCodec encodes and signs reports, and verifies and decodes them.
+type reportCodec struct {
+	signer *signer.Signer
+}
+
+// Encode returns the signed bytes of a report.
+func (c *reportCodec) Encode(r *gossiper.Report) []byte { return c.signer.Sign(encoder.Report(r)) }
 
-// Encode returns the bytes of a report.
-func (reportCodec) Encode(r *gossiper.Report) []byte { return encoder.Report(r) }
+// Decode returns the report that the signed bytes encode.
+func (c *reportCodec) Decode(signed []byte) (*gossiper.Report, error) {
+	data, err := c.signer.Open(signed)
+	if err != nil {
+		return nil, err
+	}
 
-// Decode returns the report that the bytes encode.
-func (reportCodec) Decode(data []byte) (*gossiper.Report, error) { return decoder.Report(data) }
+	return decoder.Report(data)
+}
 
 // deferredBroadcaster passes quarantine marks to the gossiper. It exists because the
 // quarantine, which sends the marks, is built before the gossiper.
--- a/internal/assembler/store_operators.go
+++ b/internal/assembler/store_operators.go
@@ -18,6 +18,7 @@
 	} {
 		v.meter.RegisterGauge(name, read)
 	}
+	v.gossiper.Each(v.meter.RegisterCounter)
 	v.placer.Each(v.meter.RegisterCounter)
 	v.retries.Each(v.meter.RegisterCounter)
 	v.store.Each(v.meter.RegisterCounter)
--- a/internal/commander/cmd_serve.go
+++ b/internal/commander/cmd_serve.go
@@ -94,7 +94,7 @@
 
 		return
 	}
-	l.Log(logger.SettingsRead, logger.Flag("changed", *next != *inForce))
+	l.Log(logger.SettingsRead, logger.Flag("changed", !next.Equal(inForce)))
 }
 
 // logOutput returns the output for log lines: standard output for a VM on the
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"reflect"
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
@@ -55,6 +56,9 @@
 	// stopGrace is how long a stopping VM continues to serve after it reports that it
 	// is not ready.
 	stopGrace time.Duration
+	// peerKeys are the keys of the reports between VMs. The first signs them; empty if
+	// they are not signed.
+	peerKeys  []string
 	logFormat logger.Format
 	tracing   Tracing
 }
@@ -121,6 +125,8 @@
 	// Memory is optional; 0 means that it is not known.
 	Memory    int64
 	StopGrace time.Duration
+	// PeerKeys is optional.
+	PeerKeys  []string
 	LogFormat logger.Format
 	Tracing   Tracing
 }
@@ -144,6 +150,7 @@
 		retention:  cmp.Or(s.Retention, DefaultRetention),
 		maxBody:    s.MaxBody,
 		memory:     s.Memory,
+		peerKeys:   s.PeerKeys,
 		stopGrace:  s.StopGrace,
 		logFormat:  s.LogFormat,
 		tracing:    s.Tracing,
@@ -200,6 +207,9 @@
 // MaxBody returns the largest size of a request's body in bytes.
 func (s *Settings) MaxBody() int { return s.maxBody }
 
+// Equal reports whether all settings are the same.
+func (s *Settings) Equal(other *Settings) bool { return reflect.DeepEqual(s, other) }
+
 // BodyMemory returns the number of bytes that the bodies of all requests and responses
 // together may hold at any time. It has room for a request with the largest body and its
 // response.
@@ -207,6 +217,10 @@
 	return max(cmp.Or(s.memory, defaultMemory)/bodyMemoryDivisor, 2*int64(s.maxBody))
 }
 
+// PeerKeys returns the keys of the reports between VMs, that which signs them first; none
+// if they are not signed.
+func (s *Settings) PeerKeys() []string { return s.peerKeys }
+
 // StopGrace returns how long a stopping VM continues to serve after it reports that it
 // is not ready.
 func (s *Settings) StopGrace() time.Duration { return s.stopGrace }
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -23,6 +23,9 @@
 	defaultStopGrace = 4 * time.Second
 	maxStopGrace     = 10 * time.Minute
 	maxPort          = 1<<16 - 1
+	// minPeerKeyBytes and maxPeerKeys bound the keys of the reports between VMs.
+	minPeerKeyBytes = 16
+	maxPeerKeys     = 4
 	// minRetention and maxRetention bound the retention of the log that the settings
 	// may state.
 	minRetention = time.Minute
@@ -44,6 +47,7 @@
 		Region:     r.nonEmptyText("region"),
 		StopGrace:  r.duration("stopGraceMs", defaultStopGrace, 0, maxStopGrace),
 		MaxBody:    int(r.integer("maxBodyBytes", defaultMaxBody, 1, largestMaxBody)),
+		PeerKeys:   readPeerKeys(r),
 		Memory:     r.integer("memoryMB", 0, minMemoryMB, maxMemoryMB) * bytesPerMB,
 		LogFormat:  logger.Format(r.choice("logFormat", string(logger.FormatLogfmt), string(logger.FormatJSON))),
 	}
@@ -77,6 +81,22 @@
 	return configurer.New(spec), nil
 }
 
+// readPeerKeys reads the keys of the reports between VMs. Faults do not contain a key.
+func readPeerKeys(r *reader) []string {
+	keys := r.texts("peerKeys")
+	if len(keys) > maxPeerKeys {
+		r.collector.add(r.pathOf("peerKeys"), fmt.Sprintf("there are %d keys", len(keys)), fmt.Sprintf("%d keys at most", maxPeerKeys))
+	}
+	for i, k := range keys {
+		if len(k) < minPeerKeyBytes {
+			r.collector.add(r.pathOf(fmt.Sprintf("peerKeys[%d]", i)), fmt.Sprintf("the key has %d bytes", len(k)),
+				fmt.Sprintf("at least %d bytes that cannot be guessed", minPeerKeyBytes))
+		}
+	}
+
+	return keys
+}
+
 func readAllowance(r *reader) retrier.Allowance {
 	ratio := r.number("perRequest", retrier.DefaultRatio, 1)
 	extra := r.number("extra", retrier.DefaultExtra, maxExtra)
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
@@ -39,6 +40,9 @@
 	// answeredTime is the time for which reports state that the store answered a call. It
 	// is two ticks, since a report may be lost or left out.
 	answeredTime = 2 * tickInterval
+	// skipLogInterval is the shortest time between two log lines about datagrams that were
+	// skipped, as anyone may send them.
+	skipLogInterval = time.Second
 	// maxDatagram is the size, in bytes, of the buffer that reports are received in.
 	maxDatagram = 8 << 10
 	// maxEvidence and maxEstimates bound the lists of one report, so that it fits
@@ -152,6 +156,10 @@
 	openRequests atomic.Pointer[map[estimator.Key]int]
 	// vmCounts is as of the last round; it is replaced and never changed.
 	vmCounts atomic.Pointer[vmCounts]
+	// skipped counts the datagrams that were not applied. lastSkipLogged is when the last
+	// of them was logged; only the goroutine that receives uses it.
+	skipped        metrics.Counter
+	lastSkipLogged timer.Instant
 	// readers are set before Run. The index of a reader is the number of its topic.
 	readers []reader
 }
@@ -162,6 +170,7 @@
 		spec:                 s,
 		peers:                newPeerTable(),
 		estimateRequestsLeft: maxEstimateRequests,
+		skipped:              metrics.NewCounter(),
 	}
 	g.openRequests.Store(&map[estimator.Key]int{})
 	g.vmCounts.Store(&vmCounts{
@@ -172,6 +181,9 @@
 	return g
 }
 
+// Each calls f with the name and the value of each counter.
+func (g *Gossiper) Each(f func(name string, n metrics.Counter)) { f("reports.skipped", g.skipped) }
+
 // Name returns the controller's name.
 func (g *Gossiper) Name() string { return "gossiper" }
 
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -143,19 +143,26 @@
 }
 
 // TestFaultyDatagrams checks that datagrams that cannot be decoded, or on which the code
-// panics, are logged and that the next report is applied.
+// panics, are counted and logged, one at a time, and that the next report is applied.
 func TestFaultyDatagrams(t *testing.T) {
 	var log bytes.Buffer
+	clock := timer.NewManual(timer.Instant(time.Hour))
 	g := New(Spec{
 		Self:      "127.0.0.1:1",
 		Codec:     faultyCodec{},
-		Clock:     timer.NewManual(0),
+		Clock:     clock,
 		Tallier:   tallier.New(0, noLimits{}),
 		Estimator: estimator.New(discardChanges{}),
 		Logger:    logger.New(&log, logger.FormatLogfmt, "vm"),
 	})
-	for _, data := range []string{"fault", "bad", "report"} {
+	for _, data := range []string{"fault", "fault", "bad", "report"} {
 		g.receive("127.0.0.1:2", []byte(data))
+		if data != "fault" || g.skipped.Count() == 2 {
+			clock.Advance(skipLogInterval)
+		}
+	}
+	if n := g.skipped.Count(); n != 3 {
+		t.Errorf("%d datagrams were counted as skipped, want 3", n)
 	}
 	if n := len(g.peers.byAddress); n != 1 {
 		t.Errorf("%d peers are known after one report, want 1", n)
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -38,13 +38,26 @@
 
 		return nil
 	})
+	if err != nil {
+		g.skip(from, err)
+	}
+}
+
+// skip counts a datagram that was not applied, and logs it unless another was logged a
+// moment ago.
+func (g *Gossiper) skip(from string, err error) {
+	g.skipped.Inc(1)
+	now := g.spec.Clock.Now()
+	if g.lastSkipLogged != 0 && now.Sub(g.lastSkipLogged) < skipLogInterval {
+		return
+	}
+	g.lastSkipLogged = now
+	event := logger.ReportSkipped
 	var p *recoverer.PanicError
-	switch {
-	case errors.As(err, &p):
-		g.spec.Logger.Log(logger.Panicked, logger.Text("from", from), logger.Failure(err))
-	case err != nil:
-		g.spec.Logger.Log(logger.ReportSkipped, logger.Text("from", from), logger.Failure(err))
+	if errors.As(err, &p) {
+		event = logger.Panicked
 	}
+	g.spec.Logger.Log(event, logger.Text("from", from), logger.Int("skipped", g.skipped.Count()), logger.Failure(err))
 }
 
 // usageDelta is what another VM requested and used of an account since its
