Examine a target again whose listener resets a new connection

Cause: a target that crashed was found to refuse connections only if the first new one was refused or ended; one that was reset while it was opened counted as a target that runs. The crash was not recorded, and the request crashed a third target. Change: a reset or aborted connection shows nothing; the next one decides. The probe has a file of its own.

--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 	"net"
-	"os"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
-
 	"github.com/lagoonkeel/lagoonkeel/internal/dialer"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -40,14 +36,6 @@
 	// idleSuspension is how long connections to a target are closed after use
 	// rather than kept idle, once bytes have arrived on an idle one.
 	idleSuspension = 30 * time.Second
-	// probeTimeout bounds the check whether a target refuses connections.
-	probeTimeout = 500 * time.Millisecond
-	// probeInterval is the pause between two connections of one check.
-	probeInterval = 5 * time.Millisecond
-	// probeOpenTime is how long an accepted connection must stay open to show that
-	// the target is running. A process that exits on a busy machine may take tens
-	// of milliseconds to close it.
-	probeOpenTime = 100 * time.Millisecond
 )
 
 // pool holds the connections to all targets.
@@ -246,36 +234,11 @@
 	}
 }
 
-// refusesConnections reports whether a new connection to the address is refused.
-// A process that exits may still accept a connection after it has closed others
-// and before it closes its listener. Such a connection ends soon, so
-// refusesConnections connects again until one is refused or stays open.
+// refusesConnections reports whether new connections to the address are refused.
 func (p *pool) refusesConnections(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	for ; ctx.Err() == nil; time.Sleep(probeInterval) {
-		conn, err := p.dialer.DialContext(ctx, "tcp", address)
-		if err != nil {
-			return errors.Is(err, unix.ECONNREFUSED)
-		}
-		if staysOpen(conn) {
-			return false
-		}
-	}
-
-	return false
-}
-
-// staysOpen reports whether the peer leaves a new connection open for
-// probeOpenTime, and closes it.
-func staysOpen(conn net.Conn) bool {
-	defer conn.Close() //nolint:errcheck // Nothing was sent on it.
-	if err := conn.SetReadDeadline(time.Now().Add(probeOpenTime)); err != nil {
-		return false
-	}
-	_, err := conn.Read(make([]byte, 1))
-
-	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+	return refuses(ctx, func(ctx context.Context) (net.Conn, error) {
+		return p.dialer.DialContext(ctx, "tcp", address)
+	})
 }
 
 // run closes connections that have been idle for maxIdleTime until ctx ends, then
