Wait for the end of crashed targets in the proof of crashing requests

Cause: in one of 60 runs the proof counted one crashed target for two: the process refused connections, so that the crash was recorded and the request quarantined, before the system had ended it. The count was taken at that moment. Change: the proof waits until two targets have ended, and half a second more for a third. It is as strict: a third crash that is noticed late fails it, which it did not before.

--- a/internal/prover/proof08_test.go
+++ b/internal/prover/proof08_test.go
@@ -124,6 +124,24 @@
 	}
 }
 
+// crashNoticeTime is how long after a crash the test may take to notice that the process
+// has ended: the process refuses connections before the system has cleaned it up.
+const crashNoticeTime = 500 * time.Millisecond
+
+// crashed returns how many targets of the service have ended.
+func (f *fleet) crashed(service string) int {
+	n := 0
+	for _, u := range f.targets[service] {
+		select {
+		case <-u.done():
+			n++
+		default:
+		}
+	}
+
+	return n
+}
+
 // TestProof08CrashingRequest guards against a request that crashes each target that
 // runs it and takes down one target after the other as callers repeat it. At most two
 // targets of a service may crash before the fleet quarantines the request.
@@ -152,14 +170,9 @@
 				fields: []string{standin.CrashField, "yes"}, body: "poison",
 			})
 		}
-		crashed := 0
-		for _, u := range f.targets[s.service] {
-			select {
-			case <-u.done():
-				crashed++
-			default:
-			}
-		}
+		waitFor(t, "two targets have crashed", func() bool { return f.crashed(s.service) >= 2 })
+		time.Sleep(crashNoticeTime) // A third one may still be exiting.
+		crashed := f.crashed(s.service)
 		other := send(c, f.vms[0].callersAddr, request{method: s.method, path: s.path + "/other", key: guidesKey})
 		fmt.Fprintf(&out, "%s: crashed targets: %d, last answer: %v, another request: %v\n", s.service, crashed, last, other)
 	}
