Read the list of VMs again once this VM is listed

Cause: two VMs that started at the same time could each read the list before the other was on it. Neither knew the other for half a minute to a minute; each used the whole of every limit. Change: the announcer lets the list be read again after its own entry was acknowledged, so that the later of two finds the other and reports to it.

--- a/internal/assembler/announcer.go
+++ b/internal/assembler/announcer.go
@@ -25,18 +25,28 @@
 	id      string
 	// dataCentre is that of this VM.
 	dataCentre string
-	timers     *timer.Service
-	logger     *logger.Logger
+	// list reads the other VMs' addresses.
+	list   refresher
+	timers *timer.Service
+	logger *logger.Logger
+}
+
+// refresher reads a topic again.
+type refresher interface {
+	Refresh()
 }
 
 // Name returns the controller's name.
 func (a *announcer) Name() string { return "announcer" }
 
-// Run publishes what the announcer has, retries until that succeeds or ctx ends, and returns nil.
+// Run publishes what the announcer has, and retries until that succeeds or ctx ends. It
+// then lets the list of the VMs be read again, and returns nil.
 func (a *announcer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		err := a.topic.Put(ctx, a.address, []byte(gossiper.Announcement(a.id, a.dataCentre)))
 		if err == nil {
+			a.list.Refresh() // Of two VMs that start at once, the later one finds the other.
+
 			return nil
 		}
 		a.logger.Log(logger.AnnounceFailed, logger.Failure(err))
--- a/internal/assembler/store_chain.go
+++ b/internal/assembler/store_chain.go
@@ -37,6 +37,7 @@
 			address:    v.settings.Peers(),
 			id:         v.settings.ID(),
 			dataCentre: v.settings.DataCentre(),
+			list:       vms,
 			timers:     v.timers,
 			logger:     v.logger,
 		},
--- a/internal/subscriber/fetch.go
+++ b/internal/subscriber/fetch.go
@@ -11,6 +11,7 @@
 // It reports whether that call found changes.
 func (s *Subscriber) step(ctx context.Context) (bool, error) {
 	s.mu.Lock()
+	s.refresh = false
 	from := s.next
 	wait := s.schedule.pollTimeout(s.peers.Rank(s.name))
 	if s.peerOffset > s.next {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -72,6 +72,8 @@
 	next Offset
 	// peerOffset is the greatest offset up to which another VM has read.
 	peerOffset Offset
+	// refresh is set where the next call must follow at once.
+	refresh bool
 	// lost is set from a failed call on until a call succeeds.
 	lost bool
 	// lastSuccess is when the last call without a failure ended; 0 before one did.
@@ -153,6 +155,14 @@
 	}
 }
 
+// Refresh makes a call for changes follow at once, even where one is in progress.
+func (s *Subscriber) Refresh() {
+	s.mu.Lock()
+	s.refresh = true
+	s.mu.Unlock()
+	s.wake()
+}
+
 // NotePeerReached records that the store answered another VM lately.
 func (s *Subscriber) NotePeerReached() {
 	s.mu.Lock()
@@ -213,13 +223,13 @@
 	return nil
 }
 
-// behind reports whether the next call must follow at once: to load the topic, or
-// because another VM has read further.
+// behind reports whether the next call must follow at once: to load the topic, because
+// another VM has read further, or after Refresh.
 func (s *Subscriber) behind() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return s.next == unknown || s.peerOffset > s.next
+	return s.next == unknown || s.peerOffset > s.next || s.refresh
 }
 
 func (s *Subscriber) failed(err error) {
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -235,3 +235,30 @@
 		t.Errorf("%d calls in 0.4 s, want at most %d", n, allowed)
 	}
 }
+
+// TestRefresh checks that a call follows at once after Refresh, for a topic that is read
+// rarely: while no call is in progress, and after one that began before. A VM that has
+// just listed itself thus finds one that did so at the same time.
+func TestRefresh(t *testing.T) {
+	out := &transcript{changed: make(chan struct{}, 1)}
+	s := &scriptedTopic{
+		out:     out,
+		replies: make(chan reply),
+	}
+	clock := timer.NewService()
+	sub := subscriber.New("topic", s, &view{out: out, usable: true}, &peers{out: out}, clock, logger.Discard()).LowPriority()
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = clock.Run(ctx) })
+	group.Go(func() { _ = sub.Run(ctx) })
+	out.await(t, "newest")
+	sub.Refresh()
+	s.replies <- reply{next: 1}
+	out.await(t, "changes from 1 waits=false")
+	s.replies <- reply{records: []subscriber.Record{record("a", 1)}, next: 2}
+	out.await(t, "  update [a@1]")
+	sub.Refresh()
+	out.await(t, "changes from 2 waits=false")
+	cancel()
+	group.Wait()
+}
