Let one VM in each other data centre pass reports on

Change: in a fleet of more than 75 VMs a report goes to the VMs of its data centre and to one VM, drawn anew each time, of each other one, which passes it on there; a report that was passed on names its origin. A VM that dies costs its data centre one round.

--- a/internal/assembler/store_gossip.go
+++ b/internal/assembler/store_gossip.go
@@ -21,9 +21,10 @@
 	broadcaster := &deferredBroadcaster{}
 	v.quarantine = quarantiner.New(v.timers, broadcaster, v.logger)
 	v.gossiper = gossiper.New(gossiper.Spec{
-		Conn:    conn,
-		Self:    v.settings.Peers(),
-		StartID: uint32(time.Now().UnixMilli()), //nolint:gosec // It tells two runs apart and may wrap around.
+		Conn:       conn,
+		Self:       v.settings.Peers(),
+		DataCentre: v.settings.DataCentre(),
+		StartID:    uint32(time.Now().UnixMilli()), //nolint:gosec // It tells two runs apart and may wrap around.
 		Codec: &reportCodec{
 			signer: signer.New(v.settings.PeerKeys()),
 		},
--- a/internal/decoder/report.go
+++ b/internal/decoder/report.go
@@ -116,6 +116,7 @@
 	flags := c.octet()
 	spec.Leaving = flags&encoder.ReportLeaving != 0
 	spec.RequestsEstimates = flags&encoder.ReportAsking != 0
+	spec.Spread = flags&encoder.ReportSpread != 0
 	c.list(func() {
 		spec.Counts = append(spec.Counts, tallier.NewCount(tallier.Account(c.fixed32()), c.uvarint(), c.uvarint()))
 	})
@@ -137,6 +138,9 @@
 	if flags&encoder.ReportRelay != 0 {
 		spec.Relay = readRelay(c, flags&encoder.ReportPassOn != 0)
 	}
+	if flags&encoder.ReportOrigin != 0 {
+		spec.Origin = c.text()
+	}
 	if c.failed || len(c.rest) > 0 {
 		return nil, &ReportError{
 			reason: "truncated, malformed or too long",
--- a/internal/decoder/report_test.go
+++ b/internal/decoder/report_test.go
@@ -19,6 +19,8 @@
 		StartID:           4_000_000_000,
 		Sequence:          17,
 		Leaving:           true,
+		Spread:            true,
+		Origin:            "10.0.0.3:7000",
 		RequestsEstimates: true,
 		Counts:            []tallier.Count{tallier.NewCount(tallier.TeamAccount("guides"), 300, 280)},
 		Loads:             []gossiper.Load{gossiper.NewLoad(7, 3)},
--- a/internal/encoder/report.go
+++ b/internal/encoder/report.go
@@ -19,6 +19,10 @@
 	ReportRelay = 4
 	// ReportPassOn is set if addresses follow the relayed records.
 	ReportPassOn = 8
+	// ReportSpread is set if the receiver passes the report on in its data centre.
+	ReportSpread = 16
+	// ReportOrigin is set if the report ends with the address of the VM that it is about.
+	ReportOrigin = 32
 )
 
 // The bits of a position's flags.
@@ -39,8 +43,7 @@
 	b := []byte{ReportFormat}
 	b = binary.AppendUvarint(b, uint64(r.StartID()))
 	b = binary.AppendUvarint(b, uint64(r.Sequence()))
-	b = append(b, flagBit(r.Leaving(), ReportLeaving)|flagBit(r.RequestsEstimates(), ReportAsking)|
-		flagBit(r.Relay() != nil, ReportRelay)|flagBit(r.Relay() != nil && len(r.Relay().PassTo()) > 0, ReportPassOn))
+	b = append(b, reportFlags(r))
 	b = binary.AppendUvarint(b, uint64(len(r.Counts())))
 	for _, c := range r.Counts() {
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Account()))
@@ -81,10 +84,24 @@
 	if r.Relay() != nil {
 		b = appendRelay(b, r.Relay())
 	}
+	if r.Origin() != "" {
+		b = appendText(b, r.Origin())
+	}
 
 	return b
 }
 
+func reportFlags(r *gossiper.Report) byte {
+	flags := flagBit(r.Leaving(), ReportLeaving)
+	flags |= flagBit(r.RequestsEstimates(), ReportAsking)
+	flags |= flagBit(r.Relay() != nil, ReportRelay)
+	flags |= flagBit(r.Relay() != nil && len(r.Relay().PassTo()) > 0, ReportPassOn)
+	flags |= flagBit(r.Spread(), ReportSpread)
+	flags |= flagBit(r.Origin() != "", ReportOrigin)
+
+	return flags
+}
+
 func appendRelay(b []byte, r *gossiper.Relay) []byte {
 	b = binary.AppendUvarint(b, uint64(r.Topic()))
 	b = binary.AppendUvarint(b, uint64(r.From())) //nolint:gosec // Offsets are not below 0.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -119,6 +119,8 @@
 	// address as the other VMs know it.
 	Conn net.PacketConn
 	Self string
+	// DataCentre is that of this VM.
+	DataCentre string
 	// StartID tells the runs of this VM apart.
 	StartID    uint32
 	Codec      codec
@@ -211,7 +213,7 @@
 	r.leaving = true
 	to := g.recentPeers(now)
 	g.mu.Unlock()
-	g.send(r, to)
+	g.spread(r, to)
 }
 
 // ReportOutcome reports an attempt of this VM to the others. A served attempt waits for
@@ -238,7 +240,7 @@
 	r.evidence = []Evidence{e}
 	to := g.recentPeers(now)
 	g.mu.Unlock()
-	g.send(r, to)
+	g.spread(r, to)
 }
 
 // Broadcast sends to the other VMs the mark of a request that crashed a target or
@@ -250,7 +252,7 @@
 	r.marks = []quarantiner.Mark{m}
 	to := g.recentPeers(now)
 	g.mu.Unlock()
-	g.send(r, to)
+	g.spread(r, to)
 }
 
 // VMCounts returns how many VMs, this one included, are heard and known, as of
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -34,6 +34,9 @@
 		if err != nil {
 			return errors.Wrap(err, "decoding a report")
 		}
+		if r.origin != "" {
+			from = r.origin
+		}
 		g.handleReport(from, r)
 
 		return nil
@@ -76,6 +79,9 @@
 	if !accepted {
 		return
 	}
+	if r.spread {
+		g.passOnReport(r, from)
+	}
 	for _, u := range usage {
 		g.spec.Tallier.AddRemote(now, u.account, u.requested, u.used)
 	}
--- a/internal/gossiper/relay_test.go
+++ b/internal/gossiper/relay_test.go
@@ -51,14 +51,15 @@
 		records = append(records, subscriber.NewRecord(address, []byte(Announcement("a vm", fmt.Sprint("dc-", i%5))), 0))
 	}
 	v.gossiper = New(Spec{
-		Conn:      v.conn,
-		Self:      v.addresses[0],
-		Codec:     emptyCodec{},
-		Clock:     timer.NewManual(now),
-		Tallier:   tallier.New(now, noLimits{}),
-		Estimator: estimator.New(discardChanges{}),
-		Loads:     func() []Load { return nil },
-		Logger:    logger.Discard(),
+		Conn:       v.conn,
+		Self:       v.addresses[0],
+		DataCentre: "dc-0",
+		Codec:      emptyCodec{},
+		Clock:      timer.NewManual(now),
+		Tallier:    tallier.New(now, noLimits{}),
+		Estimator:  estimator.New(discardChanges{}),
+		Loads:      func() []Load { return nil },
+		Logger:     logger.Discard(),
 	})
 	v.gossiper.estimateRequestsLeft = 0
 	v.gossiper.Update(now, records)
@@ -148,3 +149,71 @@
 		t.Errorf("sent %v, want one datagram to each of the two known VMs", v.conn.sent)
 	}
 }
+
+// TestSpread compares with the golden file how many datagrams a report takes, and how many
+// of them leave the data centre, at the VM that sends it and at one that passes it on.
+func TestSpread(t *testing.T) {
+	var out bytes.Buffer
+	for _, size := range []int{17, 75, 76, 300, 2300} {
+		v := newSimulatedVM(timer.Instant(time.Hour), size)
+		show := func(title string) {
+			crossing := 0
+			for a, n := range v.conn.sent {
+				if v.gossiper.peers.byAddress[a].dataCentre != "dc-0" {
+					crossing += n
+				}
+			}
+			fmt.Fprintf(&out, "%d VMs, %s: %d datagrams, %d leave the data centre\n", size, title, len(v.conn.sent), crossing)
+			v.conn.sent = map[string]int{}
+		}
+		v.gossiper.ReportOutcome(estimator.Key(1), estimator.OutcomeFailed)
+		show("a failure")
+		r := NewReport(ReportSpec{
+			StartID:  1,
+			Sequence: 1,
+			Spread:   true,
+		})
+		v.gossiper.handleReport(v.addresses[1], r)
+		show("passing on")
+		v.gossiper.handleReport(v.addresses[1], r)
+		show("the same report again")
+	}
+	goldie.New(t).Assert(t, "spread", out.Bytes())
+}
+
+// originStart is the start ID of the reports of originCodec.
+const originStart = 7
+
+// originCodec decodes each datagram as a report of the origin, which leaves.
+type originCodec struct {
+	emptyCodec
+
+	origin string
+}
+
+// Decode returns the report.
+func (c originCodec) Decode([]byte) (*Report, error) {
+	return NewReport(ReportSpec{
+		StartID:  originStart,
+		Sequence: 1,
+		Leaving:  true,
+		Origin:   c.origin,
+	}), nil
+}
+
+// TestOrigin checks that a report that was passed on counts as one of its origin, and that
+// it is not passed on again.
+func TestOrigin(t *testing.T) {
+	v := newSimulatedVM(timer.Instant(time.Hour), 10)
+	v.gossiper.spec.Codec = originCodec{origin: v.addresses[3]}
+	v.gossiper.receive(v.addresses[1], nil)
+	if p := v.gossiper.peers.byAddress[v.addresses[3]]; p.startID != originStart || !p.left {
+		t.Error("the report was not applied to its origin")
+	}
+	if p := v.gossiper.peers.byAddress[v.addresses[1]]; p.startID != 0 {
+		t.Error("the report was applied to the VM that passed it on")
+	}
+	if len(v.conn.sent) > 0 {
+		t.Errorf("%d datagrams were sent", len(v.conn.sent))
+	}
+}
--- a/internal/gossiper/report.go
+++ b/internal/gossiper/report.go
@@ -145,6 +145,11 @@
 	estimates         []estimator.Estimate
 	// relay holds relayed records of a topic; nil without any.
 	relay *Relay
+	// spread is set where the receiver passes the report on to the VMs in its data centre.
+	spread bool
+	// origin is the address of the VM that the report is about, where another VM passed it
+	// on; "" where that VM sent it itself.
+	origin string
 }
 
 // ReportSpec lists the attributes of a report, as the accessors of Report describe
@@ -161,6 +166,8 @@
 	RequestsEstimates bool
 	Estimates         []estimator.Estimate
 	Relay             *Relay
+	Spread            bool
+	Origin            string
 }
 
 // NewReport returns a report.
@@ -177,9 +184,36 @@
 		requestsEstimates: s.RequestsEstimates,
 		estimates:         s.Estimates,
 		relay:             s.Relay,
+		spread:            s.Spread,
+		origin:            s.Origin,
 	}
 }
 
+// spreading returns a copy that the receiver passes on in its data centre.
+func (r *Report) spreading() *Report {
+	c := *r
+	c.spread = true
+
+	return &c
+}
+
+// passedOn returns a copy of a report of the VM with the address, as another VM passes it
+// on.
+func (r *Report) passedOn(origin string) *Report {
+	c := *r
+	c.spread = false
+	c.origin = origin
+
+	return &c
+}
+
+// Spread reports whether the receiver passes the report on to the VMs in its data centre.
+func (r *Report) Spread() bool { return r.spread }
+
+// Origin returns the address of the VM that the report is about, where another VM passed
+// it on, or "".
+func (r *Report) Origin() string { return r.origin }
+
 // StartID returns the number that tells the runs of the VM apart.
 func (r *Report) StartID() uint32 { return r.startID }
 
--- a/internal/gossiper/send.go
+++ b/internal/gossiper/send.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -80,7 +81,7 @@
 	}
 	g.mu.Unlock()
 	if !idle {
-		g.send(r, to)
+		g.spread(r, to)
 	}
 }
 
@@ -140,6 +141,56 @@
 	return to
 }
 
+// spread sends the report to the VMs with the addresses. In a fleet of more than vmsPerTick
+// VMs, one VM in each other data centre passes it on to the rest there.
+func (g *Gossiper) spread(r *Report, to []string) {
+	direct, leads := to, []string(nil)
+	if len(to) >= vmsPerTick {
+		direct, leads = g.splitByDataCentre(to)
+	}
+	g.send(r, direct)
+	if len(leads) > 0 {
+		g.send(r.spreading(), leads)
+	}
+}
+
+// splitByDataCentre returns the addresses of VMs in the data centre of this VM or in an
+// unknown one, and one of each other data centre, which is heard if any is.
+func (g *Gossiper) splitByDataCentre(addresses []string) (direct, leads []string) {
+	now := g.spec.Clock.Now()
+	lead := map[string]string{}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, i := range rand.Perm(len(addresses)) { // No VM passes on every report.
+		a := addresses[i]
+		p, known := g.peers.byAddress[a]
+		if !known || p.dataCentre == "" || p.dataCentre == g.spec.DataCentre {
+			direct = append(direct, a)
+
+			continue
+		}
+		if lead[p.dataCentre] == "" || (g.peers.isHeard(now, p) && !g.peers.isHeard(now, g.peers.byAddress[lead[p.dataCentre]])) {
+			lead[p.dataCentre] = a
+		}
+	}
+
+	return direct, slices.Collect(maps.Values(lead))
+}
+
+// passOnReport passes a report of the VM with the address on to the other VMs in the data
+// centre of this one.
+func (g *Gossiper) passOnReport(r *Report, origin string) {
+	var to []string
+	g.mu.Lock()
+	for _, a := range g.recentPeers(g.spec.Clock.Now()) {
+		if a != origin && g.peers.byAddress[a].dataCentre == g.spec.DataCentre {
+			to = append(to, a)
+		}
+	}
+	g.mu.Unlock()
+	g.send(r.passedOn(origin), to)
+}
+
 // send sends the report to each address. It ignores errors: a datagram that cannot
 // be sent is like one that is lost in the network.
 func (g *Gossiper) send(r *Report, to []string) {
