Count what a VM uses after an account was idle, and clear its loads

Cause: a VM drops an account after five idle minutes and counts it from 0 again; the others took the lower count for a late report, so that its use was hidden from them until the old total was passed. A regular report without loads and counts left the loads of earlier ones. Change: a lower count in the newest report of a run is one that begins anew; regular reports are marked and replace all loads.

--- a/internal/decoder/report.go
+++ b/internal/decoder/report.go
@@ -116,6 +116,7 @@
 	flags := c.octet()
 	spec.Leaving = flags&encoder.ReportLeaving != 0
 	spec.RequestsEstimates = flags&encoder.ReportAsking != 0
+	spec.Regular = flags&encoder.ReportRegular != 0
 	spec.Spread = flags&encoder.ReportSpread != 0
 	c.list(func() {
 		spec.Counts = append(spec.Counts, tallier.NewCount(tallier.Account(c.fixed32()), c.uvarint(), c.uvarint()))
--- a/internal/decoder/report_test.go
+++ b/internal/decoder/report_test.go
@@ -20,6 +20,7 @@
 		Sequence:          17,
 		Leaving:           true,
 		Spread:            true,
+		Regular:           true,
 		Origin:            "10.0.0.3:7000",
 		RequestsEstimates: true,
 		Counts:            []tallier.Count{tallier.NewCount(tallier.TeamAccount("guides"), 300, 280)},
--- a/internal/encoder/report.go
+++ b/internal/encoder/report.go
@@ -23,6 +23,8 @@
 	ReportSpread = 16
 	// ReportOrigin is set if the report ends with the address of the VM that it is about.
 	ReportOrigin = 32
+	// ReportRegular is set in the report of a round.
+	ReportRegular = 64
 )
 
 // The bits of a position's flags.
@@ -98,6 +100,7 @@
 	flags |= flagBit(r.Relay() != nil && len(r.Relay().PassTo()) > 0, ReportPassOn)
 	flags |= flagBit(r.Spread(), ReportSpread)
 	flags |= flagBit(r.Origin() != "", ReportOrigin)
+	flags |= flagBit(r.Regular(), ReportRegular)
 
 	return flags
 }
--- a/internal/gossiper/peers.go
+++ b/internal/gossiper/peers.go
@@ -52,6 +52,8 @@
 	// of that run's reports.
 	startID  uint32
 	sequence uint32
+	// latest is set while the report that was accepted last is the newest one so far.
+	latest bool
 	// counts are the last ones of the peer's present run.
 	counts map[tallier.Account]tallier.Count
 	// countsComplete is set where the peer was heard from the beginning of its
@@ -105,6 +107,7 @@
 // number higher than those of the present run. A lower start ID alone does not show
 // that a report is late, because start IDs wrap around.
 func (p *peer) accept(now timer.Instant, r *Report) bool {
+	p.latest = false
 	if r.startID != p.startID {
 		if p.startID != 0 && r.sequence > p.sequence && r.startID < p.startID {
 			return false // A late report of an earlier run.
@@ -117,6 +120,7 @@
 	if r.sequence == p.sequence {
 		return false
 	}
+	p.latest = r.sequence > p.sequence
 	p.sequence = max(p.sequence, r.sequence)
 	p.lastHeard = now
 	p.left = r.leaving
@@ -124,19 +128,22 @@
 	return true
 }
 
-// delta stores the count and returns what the peer requested and used since the
-// last one.
+// delta stores a count of the report that was accepted last and returns what the peer
+// requested and used since the last one. A lower count in the newest report is one of an
+// account that the peer dropped as idle and counts anew.
 func (p *peer) delta(c tallier.Count) (requested, used uint32) {
 	last, known := p.counts[c.Account()]
+	lower := c.Requested() < last.Requested() || c.Used() < last.Used()
+	if lower && !p.latest {
+		return 0, 0 // A newer report arrived before this one.
+	}
+	p.counts[c.Account()] = c
 	if !known && !p.countsComplete {
-		p.counts[c.Account()] = c
-
 		return 0, 0 // Most of it was used before this VM heard of the peer.
 	}
-	if c.Requested() < last.Requested() || c.Used() < last.Used() {
-		return 0, 0 // A newer report arrived before this one.
+	if lower {
+		return c.Requested(), c.Used()
 	}
-	p.counts[c.Account()] = c
 
 	return c.Requested() - last.Requested(), c.Used() - last.Used()
 }
--- a/internal/gossiper/peers_test.go
+++ b/internal/gossiper/peers_test.go
@@ -33,6 +33,8 @@
 		{"reports out of order", []report{{9, 1, 4, 4}, {9, 3, 20, 18}, {9, 2, 10, 9}}},
 		{"the same report twice", []report{{9, 1, 4, 4}, {9, 1, 4, 4}}},
 		{"peer restarted", []report{{9, 800, 4000, 3900}, {12, 1, 3, 3}, {12, 2, 5, 5}}},
+		{"the peer dropped the idle account and counts anew", []report{{9, 1, 4, 4}, {9, 2, 40, 38}, {9, 700, 3, 2}, {9, 701, 9, 8}}},
+		{"the same, and an earlier report arrives late", []report{{9, 1, 4, 4}, {9, 3, 40, 38}, {9, 700, 3, 2}, {9, 2, 30, 28}, {9, 701, 9, 8}}},
 		{"late report of an earlier run", []report{{9, 800, 4000, 3900}, {12, 1, 3, 3}, {9, 801, 4100, 4000}, {12, 2, 5, 5}}},
 	} {
 		fmt.Fprintf(&out, "%s:", c.name)
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -121,9 +121,7 @@
 			used:      used,
 		})
 	}
-	// Reports that are sent between the rounds hold neither loads nor counts, and must
-	// not clear the loads. A regular report without both leaves them as they are, too.
-	if len(r.loads) > 0 || len(r.counts) > 0 {
+	if r.regular && p.latest {
 		p.loads = r.loads
 		open := g.peers.openRequests(now)
 		g.openRequests.Store(&open)
--- a/internal/gossiper/relay_test.go
+++ b/internal/gossiper/relay_test.go
@@ -217,3 +217,28 @@
 		t.Errorf("%d datagrams were sent", len(v.conn.sent))
 	}
 }
+
+// TestLoads checks that the loads of a VM are those of its newest regular report: other
+// reports do not change them, and a regular one without any clears them.
+func TestLoads(t *testing.T) {
+	const target = estimator.Key(5)
+	v := newSimulatedVM(timer.Instant(time.Hour), 3)
+	loads := []Load{NewLoad(target, 4)}
+	for _, c := range []struct {
+		title string
+		spec  ReportSpec
+		want  int
+	}{
+		{"regular", ReportSpec{Sequence: 1, Regular: true, Loads: loads}, 4},
+		{"evidence", ReportSpec{Sequence: 2, Evidence: []Evidence{NewEvidence(target, estimator.OutcomeServed)}}, 4},
+		{"regular without loads", ReportSpec{Sequence: 4, Regular: true}, 0},
+		{"an earlier one, late", ReportSpec{Sequence: 3, Regular: true, Loads: loads}, 0},
+		{"regular again", ReportSpec{Sequence: 5, Regular: true, Loads: loads}, 4},
+	} {
+		c.spec.StartID = 1
+		v.gossiper.handleReport(v.addresses[1], NewReport(c.spec))
+		if got := v.gossiper.OpenRequests(target); got != c.want {
+			t.Errorf("%s: %d open requests, want %d", c.title, got, c.want)
+		}
+	}
+}
--- a/internal/gossiper/report.go
+++ b/internal/gossiper/report.go
@@ -132,7 +132,9 @@
 	// sequence numbers the reports of one run from 1.
 	sequence uint32
 	// leaving is set in the last report of a VM that stops.
-	leaving  bool
+	leaving bool
+	// regular is set in the report of a round, which holds all loads.
+	regular  bool
 	counts   []tallier.Count
 	loads    []Load
 	evidence []Evidence
@@ -158,6 +160,7 @@
 	StartID           uint32
 	Sequence          uint32
 	Leaving           bool
+	Regular           bool
 	Counts            []tallier.Count
 	Loads             []Load
 	Evidence          []Evidence
@@ -176,6 +179,7 @@
 		startID:           s.StartID,
 		sequence:          s.Sequence,
 		leaving:           s.Leaving,
+		regular:           s.Regular,
 		counts:            s.Counts,
 		loads:             s.Loads,
 		evidence:          s.Evidence,
@@ -223,6 +227,9 @@
 // Leaving reports whether the VM stops and this report is its last one.
 func (r *Report) Leaving() bool { return r.leaving }
 
+// Regular reports whether the report is that of a round, which holds all loads.
+func (r *Report) Regular() bool { return r.regular }
+
 // Counts returns the counts that changed since the last round.
 func (r *Report) Counts() []tallier.Count { return r.counts }
 
--- a/internal/gossiper/send.go
+++ b/internal/gossiper/send.go
@@ -68,6 +68,7 @@
 	g.rounds++
 	positions, g.previousPositions = g.previousPositions, positions
 	r := g.newEvidenceReport()
+	r.regular = true
 	r.counts = counts
 	r.loads = open
 	r.positions = positions
