Quarantine a new request although many are quarantined

Cause: with 512 requests quarantined the limit dropped the only suspect, the new request itself, at its second crash; it was never quarantined. Change: a new suspect replaces the oldest one that is not quarantined, or the oldest request if all are. Run: TestManySuspects failed before and passes.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -24,8 +24,8 @@
 	// sameCrashWindow is the time after a crash within which another report of
 	// the same target counts as the same crash.
 	sameCrashWindow = 2 * time.Second
-	// maxSuspects bounds the suspects that are kept. Once there are so many, each
-	// change drops the oldest one that is not quarantined.
+	// maxSuspects bounds the suspects that are kept. Once there are so many, a new one
+	// replaces the oldest that is not quarantined, or the oldest if all are.
 	maxSuspects = 512
 )
 
@@ -144,6 +144,9 @@
 	now := q.clock.Now()
 	next := q.withoutExpired(now)
 	old := next[m.fingerprint]
+	if old == nil && m.target != "" && len(next) >= maxSuspects {
+		delete(next, oldest(next))
+	}
 	if m.target != "" {
 		next[m.fingerprint] = q.addCrash(now, old, m)
 	} else if old != nil && old.until == 0 {
@@ -179,26 +182,33 @@
 }
 
 // withoutExpired returns a copy of the suspects without those whose suspicion or
-// quarantine has ended. At maxSuspects it also leaves out the oldest that is not
-// quarantined.
+// quarantine has ended.
 func (q *Quarantiner) withoutExpired(now timer.Instant) map[Fingerprint]*suspect {
 	old := *q.suspects.Load()
 	next := make(map[Fingerprint]*suspect, len(old)+1)
-	var oldest Fingerprint
-	var since timer.Instant
 	for f, s := range old {
-		last := s.crashes[len(s.crashes)-1].at
-		if now.Sub(last) >= suspicionTime || (s.until != 0 && !s.until.After(now)) {
-			continue
-		}
-		next[f] = s
-		if s.until == 0 && (oldest == "" || last.Before(since)) {
-			oldest, since = f, last
+		if now.Sub(s.lastCrash()) < suspicionTime && (s.until == 0 || s.until.After(now)) {
+			next[f] = s
 		}
 	}
-	if len(next) >= maxSuspects {
-		delete(next, oldest)
-	}
 
 	return next
 }
+
+// lastCrash returns the instant of the last crash.
+func (s *suspect) lastCrash() timer.Instant { return s.crashes[len(s.crashes)-1].at }
+
+// oldest returns the suspect whose last crash is the oldest, of those that are not
+// quarantined if there are any.
+func oldest(suspects map[Fingerprint]*suspect) Fingerprint {
+	var found Fingerprint
+	var first *suspect
+	for f, s := range suspects {
+		free, firstFree := s.until == 0, first != nil && first.until == 0
+		if first == nil || free && !firstFree || free == firstFree && s.lastCrash().Before(first.lastCrash()) {
+			found, first = f, s
+		}
+	}
+
+	return found
+}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -70,3 +70,30 @@
 	show("after 600 other suspect requests", "b")
 	goldie.New(t).Assert(t, "quarantine", out.Bytes())
 }
+
+// TestManySuspects checks that a request is quarantined at its second crash although as
+// many others as are kept are quarantined already, and that suspects make room first.
+func TestManySuspects(t *testing.T) {
+	const kept = 512
+	clock := timer.NewManual(1)
+	q := quarantiner.New(clock, &peers{}, logger.Discard())
+	crash := func(f quarantiner.Fingerprint, target string) {
+		q.RecordDeath(context.Background(), f, target)
+		clock.Advance(time.Millisecond)
+	}
+	for i := range kept - 1 {
+		crash(quarantiner.Fingerprint(fmt.Sprint(i)), "t1")
+		crash(quarantiner.Fingerprint(fmt.Sprint(i)), "t2")
+	}
+	crash("suspect", "t1")
+	crash("new", "t1")
+	crash("new", "t2")
+	if !q.Blocked("new") || !q.Blocked("0") {
+		t.Errorf("new is quarantined: %v, the oldest: %v; want both, since a suspect made room", q.Blocked("new"), q.Blocked("0"))
+	}
+	crash("newer", "t1")
+	crash("newer", "t2")
+	if !q.Blocked("newer") || q.Blocked("0") {
+		t.Errorf("newer is quarantined: %v, the oldest: %v; want only newer", q.Blocked("newer"), q.Blocked("0"))
+	}
+}
