--- a/internal/gossiper/relay_test.go
+++ b/internal/gossiper/relay_test.go
@@ -38,9 +38,13 @@
 	addresses []string
 }
 
+// simulationStart is the instant at which simulated VMs have heard each other.
+const simulationStart = timer.Instant(time.Hour)
+
 // newSimulatedVM returns a VM of a fleet of the size that knows the others and has heard
-// them at the instant.
-func newSimulatedVM(now timer.Instant, size int) *simulatedVM {
+// them at simulationStart.
+func newSimulatedVM(size int) *simulatedVM {
+	now := simulationStart
 	v := &simulatedVM{
 		conn: &countingConn{sent: map[string]int{}},
 	}
@@ -76,8 +80,8 @@
 	const seconds = 24
 	var out bytes.Buffer
 	for _, size := range []int{2, 17, 57, 75, 76, 150, 300, 600, 2300} {
-		now := timer.Instant(time.Hour)
-		v := newSimulatedVM(now, size)
+		now := simulationStart
+		v := newSimulatedVM(size)
 		for range seconds * int(time.Second/tickInterval) {
 			now = now.Add(tickInterval)
 			for _, p := range v.gossiper.peers.byAddress {
@@ -102,8 +106,8 @@
 	const partitions = 4
 	var out bytes.Buffer
 	for _, size := range []int{17, 57, 100, 300, 1000} {
-		now := timer.Instant(time.Hour)
-		v := newSimulatedVM(now, size)
+		now := simulationStart
+		v := newSimulatedVM(size)
 		seen := map[string]int{}
 		sent, largest, crossing := 0, 0, 0
 		for number := range partitions {
@@ -136,7 +140,7 @@
 // TestPassOn checks that the receiver of a relay passes it on to the VMs that it knows
 // among those named, once, and applies it.
 func TestPassOn(t *testing.T) {
-	v := newSimulatedVM(timer.Instant(time.Hour), 4)
+	v := newSimulatedVM(4)
 	v.gossiper.SetReaders(&lockedReader{g: v.gossiper})
 	r := NewReport(ReportSpec{
 		StartID:  1,
@@ -155,7 +159,7 @@
 func TestSpread(t *testing.T) {
 	var out bytes.Buffer
 	for _, size := range []int{17, 75, 76, 300, 2300} {
-		v := newSimulatedVM(timer.Instant(time.Hour), size)
+		v := newSimulatedVM(size)
 		show := func(title string) {
 			crossing := 0
 			for a, n := range v.conn.sent {
@@ -204,7 +208,7 @@
 // TestOrigin checks that a report that was passed on counts as one of its origin, and that
 // it is not passed on again.
 func TestOrigin(t *testing.T) {
-	v := newSimulatedVM(timer.Instant(time.Hour), 10)
+	v := newSimulatedVM(10)
 	v.gossiper.spec.Codec = originCodec{origin: v.addresses[3]}
 	v.gossiper.receive(v.addresses[1], nil)
 	if p := v.gossiper.peers.byAddress[v.addresses[3]]; p.startID != originStart || !p.left {
@@ -222,7 +226,7 @@
 // reports do not change them, and a regular one without any clears them.
 func TestLoads(t *testing.T) {
 	const target = estimator.Key(5)
-	v := newSimulatedVM(timer.Instant(time.Hour), 3)
+	v := newSimulatedVM(3)
 	loads := []Load{NewLoad(target, 4)}
 	for _, c := range []struct {
 		title string
--- a/internal/gossiper/topics.go
+++ b/internal/gossiper/topics.go
@@ -101,8 +101,9 @@
 	if len(members) > maxDirectRelays {
 		size = int(math.Ceil(math.Sqrt(float64(len(members)))))
 	}
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] }) // No VM is the first of a group each time.
-	open := map[string]int{}                                                                       // The last group of each data centre.
+	// No VM is the first of a group each time.
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	open := map[string]int{} // The last group of each data centre.
 	var groups [][]string
 	for _, p := range members {
 		i, ok := open[p.dataCentre]
@@ -156,7 +157,8 @@
 	list := make([]Position, len(g.readers))
 	for i, r := range g.readers {
 		silence := r.Silence()
-		list[i] = NewPosition(uint32(i), uint32(r.Position()), r.Lost(), silence > 0 && silence <= answeredTime) //nolint:gosec // A topic gets far fewer records in a day.
+		answered := silence > 0 && silence <= answeredTime
+		list[i] = NewPosition(uint32(i), uint32(r.Position()), r.Lost(), answered) //nolint:gosec // A topic gets far fewer records in a day.
 	}
 
 	return list
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -196,7 +196,7 @@
 		c.lastBytes = make([]byte, 0, room)
 	}
 	if len(b) < len(headerEnd)-1 {
-		b = append(c.lastBytes, b...) //nolint:gocritic // The array has room for both.
+		b = append(c.lastBytes, b...)
 	}
 	kept := b[max(0, len(b)-len(headerEnd)+1):]
 	c.lastBytes = c.lastBytes[:copy(c.lastBytes[:len(headerEnd)-1], kept)]
--- a/internal/listener/pipeline_test.go
+++ b/internal/listener/pipeline_test.go
@@ -85,6 +85,18 @@
 	}
 }
 
+// readResponse returns the body of the next response and whether it closes the connection.
+func readResponse(r *bufio.Reader) (body string, closes bool, err error) {
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return "", false, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+
+	return string(data), resp.Close, err
+}
+
 // startStoppable starts a listener and returns its address and a function that begins
 // the planned stop and waits for its end.
 func startStoppable(t *testing.T, h handler.Handler) (address string, drain func(), stop func() error) {
@@ -134,13 +146,9 @@
 	drain()
 	close(w.canceled)
 	time.Sleep(100 * time.Millisecond) // The response and the end of the connection are on their way.
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	body, err := io.ReadAll(resp.Body)
-	if err != nil || string(body) != "/wait" || !resp.Close {
-		t.Errorf("got %q, close=%v and %v, want the whole response, which closes the connection", body, resp.Close, err)
+	body, closes, err := readResponse(bufio.NewReader(c))
+	if err != nil || body != "/wait" || !closes {
+		t.Errorf("got %q, close=%v and %v, want the whole response, which closes the connection", body, closes, err)
 	}
 	if n, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("after the response: %d bytes and %v, want the end of the connection", n, err)
@@ -187,19 +195,15 @@
 			return
 		}
 		for _, path := range paths {
-			resp, err := http.ReadResponse(r, nil)
-			if err != nil {
-				return
-			}
-			body, err := io.ReadAll(resp.Body)
+			body, closes, err := readResponse(r)
 			if err != nil || len(body) != len(path)+slowEchoPadding {
 				return
 			}
-			if !strings.HasPrefix(string(body), path+" ") {
+			if !strings.HasPrefix(body, path+" ") {
 				s.disordered = path
 			}
 			s.answered[path] = true
-			if resp.Close {
+			if closes {
 				return
 			}
 		}
@@ -270,12 +274,8 @@
 		}
 		r := bufio.NewReader(c)
 		for _, want := range []string{"/a", "/wait"} {
-			resp, err := http.ReadResponse(r, nil)
-			if err != nil {
-				t.Fatalf("parts of %d bytes and the rest: no response to %s: %v", cut, want, err)
-			}
-			if body, err := io.ReadAll(resp.Body); err != nil || string(body) != want {
-				t.Errorf("got %q and %v, want %s", body, err, want)
+			if body, _, err := readResponse(r); err != nil || body != want {
+				t.Fatalf("parts of %d bytes and the rest: got %q and %v, want %s", cut, body, err, want)
 			}
 			if want == "/a" {
 				<-w.entered
--- a/internal/listener/registry.go
+++ b/internal/listener/registry.go
@@ -47,7 +47,7 @@
 		<-l.ended
 	}
 
-	return errors.Wrap(l.Listener.Close(), "closing the socket")
+	return errors.Wrap(l.Close(), "closing the socket")
 }
 
 // registry holds the open connections of a listener. It is safe for concurrent use.
--- a/internal/reserver/body.go
+++ b/internal/reserver/body.go
@@ -33,10 +33,7 @@
 	if length > limit {
 		return nil, 0, ErrTooLarge
 	}
-	for {
-		if length >= 0 && len(body) == length {
-			return body, reserved, nil
-		}
+	for len(body) != length {
 		if len(body) > limit {
 			return nil, reserved, ErrTooLarge
 		}
@@ -50,15 +47,27 @@
 		}
 		n, err := from.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
-		switch {
-		case errors.Is(err, io.EOF) && length >= 0 && len(body) < length:
-			return nil, reserved, io.ErrUnexpectedEOF
-		case errors.Is(err, io.EOF) && len(body) <= limit:
-			return body, reserved, nil
-		case err != nil && !errors.Is(err, io.EOF):
+		if errors.Is(err, io.EOF) {
+			return endOfBody(body, reserved, length, limit)
+		}
+		if err != nil {
 			return nil, reserved, err //nolint:wrapcheck // The error of the caller's reader.
 		}
 	}
+
+	return body, reserved, nil
+}
+
+// endOfBody returns the results of ReadBody for a body whose reader has ended.
+func endOfBody(body []byte, reserved int64, length, limit int) ([]byte, int64, error) {
+	switch {
+	case len(body) < length:
+		return nil, reserved, io.ErrUnexpectedEOF
+	case len(body) > limit:
+		return nil, reserved, ErrTooLarge
+	default:
+		return body, reserved, nil
+	}
 }
 
 // nextCapacity returns the size of the next buffer of a body of which n bytes have
