Go on accepting callers after an error that passes

Cause: the server ends for good when a connection cannot be accepted, also where the cause is that too many files are open for a moment; the process then ends with all its requests. Change: the listener waits 50 ms after such an error and accepts again. Run: TestAcceptFails failed before and passes; the package passes under the race detector.

--- a/internal/listener/registry.go
+++ b/internal/listener/registry.go
@@ -3,16 +3,22 @@
 import (
 	"context"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
-// lastAcceptTime is how long connections that wait to be accepted are still accepted
-// once the listener stops.
-const lastAcceptTime = 20 * time.Millisecond
+const (
+	// lastAcceptTime is how long connections that wait to be accepted are still accepted
+	// once the listener stops.
+	lastAcceptTime = 20 * time.Millisecond
+	// acceptPause follows an error that passes, such as that of too many open files.
+	acceptPause = 50 * time.Millisecond
+)
 
 // limitedListener accepts connections to which the limits in force apply.
 type limitedListener struct {
@@ -24,13 +30,21 @@
 	endedOnce sync.Once
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection. It waits while none can be accepted because of an
+// error that passes.
 func (l *limitedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	for err != nil && passes(err) {
+		time.Sleep(acceptPause)
+		c, err = l.Listener.Accept()
+	}
 	if err != nil {
 		l.endedOnce.Do(func() { close(l.ended) })
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = net.ErrClosed // Only stop sets a deadline.
+		}
 
-		return nil, net.ErrClosed // The server compares it; a deadline passes only in stop.
+		return nil, err //nolint:wrapcheck // The server compares it.
 	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
@@ -40,6 +54,17 @@
 	return l.connections.add(newConn(tcp, l.limits, l.connections)), nil
 }
 
+// passes reports whether connections can be accepted again later.
+func passes(err error) bool {
+	for _, e := range []error{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ECONNABORTED} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // stop accepts the connections that wait to be accepted and closes the socket, so that
 // the callers of these connections are not cut off.
 func (l *limitedListener) stop() error {
