--- a/internal/filterer/place.go
+++ b/internal/filterer/place.go
@@ -93,7 +93,7 @@
 func placementResult(a *handler.Attempt) placer.Result {
 	r := placer.Result{
 		Leaving: a.Leaving(),
-		Rest:    a.RetryAfter(),
+		Pause:   a.RetryAfter(),
 	}
 	switch a.Fault() {
 	case handler.FaultNone:
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -122,8 +122,8 @@
 	// fullUntil holds the instants until which targets without capacity get no
 	// attempts.
 	fullUntil map[estimator.Key]timer.Instant
-	// restUntil holds the instants until which targets asked this VM for no attempts.
-	restUntil map[estimator.Key]timer.Instant
+	// pausedUntil holds the instants until which targets asked this VM for no attempts.
+	pausedUntil map[estimator.Key]timer.Instant
 	// routeLatencies are keyed by route, and serviceLatencies by service.
 	routeLatencies   map[string]*latency
 	serviceLatencies map[string]*latency
@@ -145,7 +145,7 @@
 		open:             map[*Attempt]struct{}{},
 		openPerTarget:    map[estimator.Key]int{},
 		fullUntil:        map[estimator.Key]timer.Instant{},
-		restUntil:        map[estimator.Key]timer.Instant{},
+		pausedUntil:      map[estimator.Key]timer.Instant{},
 		routeLatencies:   map[string]*latency{},
 		serviceLatencies: map[string]*latency{},
 	}
@@ -247,7 +247,7 @@
 // pauseEnd returns the instant until which the target gets no attempts; the lock must be
 // held.
 func (p *Placer) pauseEnd(k estimator.Key) timer.Instant {
-	return max(p.fullUntil[k], p.restUntil[k])
+	return max(p.fullUntil[k], p.pausedUntil[k])
 }
 
 // Wait returns the time until the first target of the service may get an attempt again;
@@ -297,8 +297,8 @@
 	Full bool
 	// Leaving is set where the target stated that it is about to stop.
 	Leaving bool
-	// Rest is for how long the target asked this VM for no attempts; 0 where it did not.
-	Rest time.Duration
+	// Pause is for how long the target asked this VM for no attempts; 0 where it did not.
+	Pause time.Duration
 }
 
 // End closes the attempt and reports its outcome, unless checkOverdue has reported the
@@ -313,8 +313,8 @@
 	} else {
 		delete(p.fullUntil, k)
 	}
-	if r.Rest > 0 {
-		p.restUntil[k] = max(p.restUntil[k], now.Add(r.Rest))
+	if r.Pause > 0 {
+		p.pausedUntil[k] = max(p.pausedUntil[k], now.Add(r.Pause))
 	}
 	took, l := now.Sub(a.started), latencyOf(p.routeLatencies, a.route)
 	switch {
@@ -341,7 +341,7 @@
 	if r.Leaving && p.spec.Leaving.MarkLeaving(now, k) {
 		p.spec.Reporter.ReportOutcome(k, estimator.OutcomeLeaving)
 	}
-	if r.Rest > 0 {
+	if r.Pause > 0 {
 		p.spec.Reporter.ReportOutcome(k, estimator.OutcomeFull)
 	}
 }
@@ -373,7 +373,7 @@
 	var abandonable []*Attempt
 	p.mu.Lock()
 	deletePast(now, p.fullUntil)
-	deletePast(now, p.restUntil)
+	deletePast(now, p.pausedUntil)
 	for a := range p.open {
 		if now.Before(a.overdue) {
 			continue
