--- a/internal/listener/registry.go
+++ b/internal/listener/registry.go
@@ -44,7 +44,7 @@
 			err = net.ErrClosed // Only stop sets a deadline.
 		}
 
-		return nil, err //nolint:wrapcheck // The server compares it.
+		return nil, err
 	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
