Drop a report that was passed on for something that is no other VM

Cause: the origin of a report that was passed on was believed as it came. A text that is no address, or this VM's own one, counted as one more VM of the fleet, so that this VM used less of each limit; sending to it failed. Change: the origin must be the address of another VM; the datagram is skipped and counted otherwise. The list of VMs uses the same check. Nothing is encoded for no receiver.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"net"
-	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -282,7 +281,7 @@
 	defer g.requestEstimates()
 	defer g.mu.Unlock()
 	for _, r := range records {
-		if _, err := netip.ParseAddrPort(r.Key()); err == nil && r.Key() != g.spec.Self && !r.Removed() {
+		if g.isPeerAddress(r.Key()) && !r.Removed() {
 			g.peers.add(now, r.Key()).dataCentre = dataCentreOf(string(r.Value()))
 		}
 	}
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -1,7 +1,9 @@
 package gossiper
 
 import (
+	"fmt"
 	"net"
+	"net/netip"
 
 	"github.com/cockroachdb/errors"
 
@@ -35,6 +37,11 @@
 			return errors.Wrap(err, "decoding a report")
 		}
 		if r.origin != "" {
+			if !g.isPeerAddress(r.origin) {
+				return &originError{
+					origin: r.origin,
+				}
+			}
 			from = r.origin
 		}
 		g.handleReport(from, r)
@@ -46,6 +53,23 @@
 	}
 }
 
+// originError reports a report that was passed on for something that is no other VM.
+type originError struct {
+	origin string
+}
+
+// Error implements error.
+func (e *originError) Error() string {
+	return fmt.Sprintf("the report was passed on for %q, which is not the address of another VM", e.origin)
+}
+
+// isPeerAddress reports whether the text can be the address of another VM.
+func (g *Gossiper) isPeerAddress(text string) bool {
+	a, err := netip.ParseAddrPort(text)
+
+	return err == nil && a.Port() != 0 && !a.Addr().IsUnspecified() && text != g.spec.Self
+}
+
 // skip counts a datagram that was not applied, and logs it unless another was logged a
 // moment ago.
 func (g *Gossiper) skip(from string, err error) {
--- a/internal/gossiper/relay_test.go
+++ b/internal/gossiper/relay_test.go
@@ -185,6 +185,25 @@
 	goldie.New(t).Assert(t, "spread", out.Bytes())
 }
 
+// TestWrongOrigin checks that a report is dropped whose origin is no address or this VM
+// itself: it would count as a VM of the fleet, and this VM would use less of each limit.
+func TestWrongOrigin(t *testing.T) {
+	for _, origin := range []string{"x", "10.0.0.1", "10.0.0.1:0", "0.0.0.0:7000", "self"} {
+		v := newSimulatedVM(3)
+		if origin == "self" {
+			origin = v.addresses[0]
+		}
+		v.gossiper.spec.Codec = originCodec{origin: origin}
+		v.gossiper.receive(v.addresses[1], nil)
+		if n := len(v.gossiper.peers.byAddress); n != 2 {
+			t.Errorf("origin %q: %d other VMs are known, want 2", origin, n)
+		}
+		if n := v.gossiper.skipped.Count(); n != 1 {
+			t.Errorf("origin %q: %d datagrams were skipped, want 1", origin, n)
+		}
+	}
+}
+
 // originStart is the start ID of the reports of originCodec.
 const originStart = 7
 
--- a/internal/gossiper/topics.go
+++ b/internal/gossiper/topics.go
@@ -71,6 +71,9 @@
 // sendRelays sends the relays, and the positions with the last of them, to VMs, which
 // pass the records on to those in passTo.
 func (g *Gossiper) sendRelays(relays []*Relay, positions []Position, passTo, to []string) {
+	if len(to) == 0 {
+		return
+	}
 	reports := make([]*Report, max(1, len(relays)))
 	g.mu.Lock()
 	for k := range reports {
