--- a/internal/listener/accept_test.go
+++ b/internal/listener/accept_test.go
@@ -1,7 +1,6 @@
 package listener_test
 
 import (
-	"context"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -9,12 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
-	"github.com/lagoonkeel/lagoonkeel/internal/logger"
-	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
-	"github.com/lagoonkeel/lagoonkeel/internal/timer"
-	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
 // failingListener fails to accept connections at first.
@@ -46,29 +40,15 @@
 	if !ok {
 		t.Fatalf("got a %T", ln)
 	}
-	limits := &variableLimits{}
-	limits.set(manifester.LimitsSpec{})
-	l := listener.New(listener.Spec{
+	l := startSpec(t, listener.Spec{
 		Socket: &failingListener{
 			TCPListener: tcp,
 			failures:    []error{unix.EMFILE, unix.ENFILE, unix.ECONNABORTED, unix.ENOBUFS, unix.ENOMEM},
 		},
 		Chain:   echo{},
 		MaxBody: 64,
-		Memory:  reserver.New(1 << 30),
-		Limits:  limits,
-		Dialect: handler.DefaultDialect(),
-		Clock:   timer.NewService(),
-		Logger:  logger.Discard(),
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- l.Run(ctx) }()
-	if got := sendRaw(t, ln.Addr().String(), "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", true); !strings.Contains(got, "200") {
+	if got := sendRaw(t, l.address, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", true); !strings.Contains(got, "200") {
 		t.Errorf("got %q", got)
 	}
-	cancel()
-	if err := <-done; err != nil {
-		t.Errorf("the listener stopped with %v", err)
-	}
 }
--- a/internal/listener/body_test.go
+++ b/internal/listener/body_test.go
@@ -14,10 +14,7 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
-	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
-	"github.com/lagoonkeel/lagoonkeel/internal/timer"
-	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
 // sizeEcho responds with the size of the body. On /wait it waits for release first, and
@@ -61,31 +58,16 @@
 func TestLargeBodies(t *testing.T) {
 	const limit, memory = 200_000, 450_000
 	const twoRequests = "two in a row" // A caller that closes its sending side gets one response only.
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	chain := &sizeEcho{release: make(chan struct{})}
-	limits := &variableLimits{}
-	limits.set(manifester.LimitsSpec{})
 	held := reserver.New(memory)
-	l := listener.New(listener.Spec{
-		Socket:  ln,
+	l := startSpec(t, listener.Spec{
 		Chain:   chain,
 		MaxBody: limit,
 		Memory:  held,
-		Limits:  limits,
-		Dialect: handler.DefaultDialect(),
-		Clock:   timer.NewService(),
-		Logger:  logger.Discard(),
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- l.Run(ctx) }()
-	address := ln.Addr().String()
 	var out strings.Builder
 	show := func(title, text string) {
-		fmt.Fprintf(&out, "%s\n%s", title, sendRaw(t, address, text, title != twoRequests))
+		fmt.Fprintf(&out, "%s\n%s", title, sendRaw(t, l.address, text, title != twoRequests))
 	}
 	for _, chunked := range []bool{false, true} {
 		for _, n := range []int{16 << 10, 16<<10 + 1, 100_000, limit, limit + 1} {
@@ -98,7 +80,7 @@
 	show(twoRequests, post("/a", 100_000, false)+post("/b", 50_000, true))
 	waiting := make([]net.Conn, 2)
 	for i := range waiting {
-		waiting[i] = dial(t, address)
+		waiting[i] = dial(t, l.address)
 		send(t, waiting[i], post("/wait", limit, false))
 	}
 	for held.Reserved() < 2*limit {
@@ -111,8 +93,7 @@
 		_, _ = io.ReadFull(c, make([]byte, 1))
 	}
 	show("after they were answered", post("/a", 100_000, false))
-	cancel()
-	if err := <-done; err != nil {
+	if err := l.stop(); err != nil {
 		t.Errorf("the listener stopped with %v", err)
 	}
 	if n := held.Reserved(); n != 0 {
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sort"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -61,31 +62,65 @@
 
 func startWithLimits(t *testing.T, h handler.Handler, limits *variableLimits) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := listener.New(listener.Spec{
-		Socket:  ln,
+
+	return startSpec(t, listener.Spec{
 		Chain:   h,
 		MaxBody: 64,
 		Limits:  limits,
-		Memory:  reserver.New(1 << 30),
-		Dialect: handler.DefaultDialect(),
-		Clock:   timer.NewService(),
-		Logger:  logger.Discard(),
-	})
+	}).address
+}
+
+// runningListener is a listener that serves callers.
+type runningListener struct {
+	*listener.Listener
+
+	address string
+	// stop begins the planned stop and waits for its end.
+	stop func() error
+}
+
+// startSpec starts a listener, which is stopped when the test ends. What the
+// specification leaves out has values that no test reaches.
+func startSpec(t *testing.T, s listener.Spec) *runningListener {
+	t.Helper()
+	if s.Socket == nil {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Socket = ln
+	}
+	if s.Limits == nil {
+		limits := &variableLimits{}
+		limits.set(manifester.LimitsSpec{})
+		s.Limits = limits
+	}
+	if s.Memory == nil {
+		s.Memory = reserver.New(1 << 30)
+	}
+	s.Dialect = handler.DefaultDialect()
+	s.Clock = timer.NewService()
+	s.Logger = logger.Discard()
+	l := listener.New(s)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- l.Run(ctx) }()
-	t.Cleanup(func() {
+	stop := sync.OnceValue(func() error {
 		cancel()
-		if err := <-done; err != nil {
+
+		return <-done
+	})
+	t.Cleanup(func() {
+		if err := stop(); err != nil {
 			t.Errorf("the listener stopped with %v", err)
 		}
 	})
 
-	return ln.Addr().String()
+	return &runningListener{
+		Listener: l,
+		address:  l.Address(),
+		stop:     stop,
+	}
 }
 
 // sendRaw sends bytes on a new connection and half-closes it if halfClose is set. It
--- a/internal/listener/pipeline_test.go
+++ b/internal/listener/pipeline_test.go
@@ -17,10 +17,6 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/listener"
-	"github.com/lagoonkeel/lagoonkeel/internal/logger"
-	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
-	"github.com/lagoonkeel/lagoonkeel/internal/timer"
-	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
 // recorder counts the requests that reach the chain.
@@ -97,37 +93,14 @@
 	return string(data), resp.Close, err
 }
 
-// startStoppable starts a listener and returns its address and a function that begins
-// the planned stop and waits for its end.
-func startStoppable(t *testing.T, h handler.Handler) (address string, drain func(), stop func() error) {
+// startWithoutLimits starts a listener whose limits no test reaches.
+func startWithoutLimits(t *testing.T, h handler.Handler) *runningListener {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	limits := &variableLimits{}
-	limits.set(manifester.LimitsSpec{})
-	l := listener.New(listener.Spec{
-		Socket:  ln,
+
+	return startSpec(t, listener.Spec{
 		Chain:   h,
 		MaxBody: 1 << 20,
-		Memory:  reserver.New(1 << 30),
-		Limits:  limits,
-		Dialect: handler.DefaultDialect(),
-		Clock:   timer.NewService(),
-		Logger:  logger.Discard(),
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- l.Run(ctx) }()
-	stop = sync.OnceValue(func() error {
-		cancel()
-
-		return <-done
-	})
-	t.Cleanup(func() { _ = stop() })
-
-	return ln.Addr().String(), l.Drain, stop
 }
 
 // TestResponseThatCloses checks that a response that closes the connection arrives whole
@@ -138,12 +111,12 @@
 		canceled: make(chan struct{}),
 	}
 	recorded := &recorder{next: w}
-	address, drain, _ := startStoppable(t, recorded)
-	c := dial(t, address)
+	l := startWithoutLimits(t, recorded)
+	c := dial(t, l.address)
 	send(t, c, "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
 	<-w.entered
 	send(t, c, strings.Repeat("GET /later HTTP/1.1\r\nHost: x\r\n\r\n", 4000)) // More than the VM reads ahead.
-	drain()
+	l.Drain()
 	close(w.canceled)
 	time.Sleep(100 * time.Millisecond) // The response and the end of the connection are on their way.
 	body, closes, err := readResponse(bufio.NewReader(c))
@@ -217,20 +190,20 @@
 	const stops, callers = 6, 40
 	for range stops {
 		recorded := &recorder{next: slowEcho{}}
-		address, drain, stop := startStoppable(t, recorded)
+		l := startWithoutLimits(t, recorded)
 		list := make([]*stopCaller, callers)
 		var wg sync.WaitGroup
 		for i := range list {
 			list[i] = &stopCaller{
-				address: address,
+				address: l.address,
 				number:  i,
 			}
 			wg.Go(list[i].run)
 		}
 		time.Sleep(100 * time.Millisecond)
-		drain()
+		l.Drain()
 		time.Sleep(50 * time.Millisecond)
-		if err := stop(); err != nil {
+		if err := l.stop(); err != nil {
 			t.Errorf("the listener stopped with %v", err)
 		}
 		wg.Wait()
@@ -264,8 +237,7 @@
 			entered:  make(chan struct{}),
 			canceled: make(chan struct{}),
 		}
-		address, _, _ := startStoppable(t, w)
-		c := dial(t, address)
+		c := dial(t, startWithoutLimits(t, w).address)
 		send(t, c, (first + second)[:cut])
 		time.Sleep(time.Millisecond) // The parts arrive one by one.
 		send(t, c, (first + second)[cut:])
@@ -284,3 +256,27 @@
 		}
 	}
 }
+
+// TestIdleConnectionsEndAtStop checks that a planned stop does not wait for connections
+// without a request: one that never had any, and one that waits for its next one.
+func TestIdleConnectionsEndAtStop(t *testing.T) {
+	l := startWithoutLimits(t, echo{})
+	unused, used := dial(t, l.address), dial(t, l.address)
+	send(t, used, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+	r := bufio.NewReader(used)
+	if _, closes, err := readResponse(r); err != nil || closes {
+		t.Fatalf("closes=%v, error %v", closes, err)
+	}
+	begun := time.Now()
+	if err := l.stop(); err != nil {
+		t.Errorf("the listener stopped with %v", err)
+	}
+	if took := time.Since(begun); took > 5*time.Second {
+		t.Errorf("the stop took %v", took)
+	}
+	for _, c := range []io.Reader{unused, r} {
+		if n, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("%d bytes and %v, want the end of the connection", n, err)
+		}
+	}
+}
