--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases. The programs of the project come from the build of the
+# deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/standin"
+go build -o ../../target/review-standin .
