Show VMs that never take up a large configuration again

A VM that the store turned away while a large configuration changed quickly needs longer than 700 ms for the next answer over a link of 10 Mbit/s, gives up and asks for the same answer again.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # if the case could not run. With TROUBLE=0 it is played without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [[ -x target/lagoonkeel && -x target/review-standin ]] || exit 2
-exec target/review-standin odd-entry "review/1/record.txt"
+exec target/review-standin far-behind "review/1/record.txt"
--- a/review/standin/consumer.go
+++ b/review/standin/consumer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -123,13 +124,20 @@
 }
 
 // configText returns a configuration of the version with two tenants: guides has a key, and
-// hostels has the given keys, as a JSON list.
-func configText(version int, hostelsKeys string) string {
-	return fmt.Sprintf(`{"version":%d,"routes":{`+
+// hostels has the given keys, as a JSON list. It has the given number of further routes.
+func configText(version int, hostelsKeys string, further int) string {
+	const route = `"r-more-%d":{"host":"hulo84.example","pathPrefix":"/more-%d/%d/","kind":"safe","timeoutMs":12000,"aimMs":2000,"priority":2,` +
+		`"trafficSplit":[{"service":"fieldbook","weight":90},{"service":"bookings","weight":10}],"maxAttempts":2,"public":false},`
+	var routes strings.Builder
+	for i := range further {
+		fmt.Fprintf(&routes, route, i, i, version)
+	}
+
+	return fmt.Sprintf(`{"version":%d,"routes":{%s`+
 		`"r-seats":{"host":"hulo84.example","pathPrefix":"/seats/","kind":"unsafe","timeoutMs":4000,"aimMs":1200,"priority":1,"service":"bookings","maxAttempts":2,"public":false},`+
 		`"r-notes":{"host":"hulo84.example","pathPrefix":"/notes/","kind":"safe","timeoutMs":12000,"aimMs":2000,"priority":2,"service":"fieldbook","maxAttempts":2,"public":false}},`+
 		`"services":{"bookings":{"healthCheck":"/health","maxConnections":390,"protocol":"h1","tls":false},"fieldbook":{"healthCheck":"/health","maxConnections":390,"protocol":"h1","tls":false}},`+
 		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},`+
 		`"tenants":{"guides":{"apiKeys":[%q],"priority":1,"ratePerS":400,"burst":400},"hostels":{"apiKeys":%s,"priority":1,"ratePerS":400,"burst":400}}}`,
-		version, guidesKey, hostelsKeys)
+		version, routes.String(), guidesKey, hostelsKeys)
 }
--- a/review/standin/environment.go
+++ b/review/standin/environment.go
@@ -19,6 +19,10 @@
 	store   *store
 	targets []*target
 	vms     []*vm
+	// linkRate is the bandwidth of each VM's link to the store, in bytes a second; 0 for no
+	// limit. doors holds the links in the order of the VMs.
+	linkRate float64
+	doors    []*door
 	// trouble is unset by TROUBLE=0: the case is then played without the disruption.
 	trouble bool
 }
@@ -71,14 +75,18 @@
 
 // configure writes a configuration, as the operator does.
 func (e *environment) configure(text string) {
-	e.record.logf("the operator writes %s", text)
+	e.record.logf("the operator writes %d bytes: %.200s", len(text), text)
 	e.store.put(configTopic, "config", []byte(text))
 }
 
 // startVMs starts VMs and waits until they are ready and hear each other.
 func (e *environment) startVMs(count int) error {
 	for i := range count {
-		v, err := newVM(e.dir, fmt.Sprintf("front-kandy-%d", i+1), e.store.address())
+		address, err := e.storeAddress()
+		if err != nil {
+			return err
+		}
+		v, err := newVM(e.dir, fmt.Sprintf("front-kandy-%d", i+1), address)
 		if err != nil {
 			return err
 		}
@@ -98,6 +106,21 @@
 	return nil
 }
 
+// storeAddress returns the address at which the next VM reaches the store: a door of its
+// own where links have a limit.
+func (e *environment) storeAddress() (string, error) {
+	if e.linkRate == 0 {
+		return e.store.address(), nil
+	}
+	d, err := openDoor(e.store, e.linkRate)
+	if err != nil {
+		return "", err
+	}
+	e.doors = append(e.doors, d)
+
+	return d.ln.Addr().String(), nil
+}
+
 // runs returns all requests that targets ran.
 func (e *environment) runs() []*arrival {
 	var list []*arrival
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,11 +28,11 @@
 type play func(e *environment) (broken bool, err error)
 
 var plays = map[string]play{
-	"odd-entry":         oddEntry,
-	"listed-field":      listedField,
-	"withheld-answer":   withheldAnswer,
-	"unanswered-behind": unansweredBehind,
-	"lost-poll":         lostPoll,
+	"far-behind":      farBehind,
+	"odd-entry":       oddEntry,
+	"listed-field":    listedField,
+	"withheld-answer": withheldAnswer,
+	"lost-poll":       lostPoll,
 }
 
 func main() {
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -47,8 +47,10 @@
 	record  *record
 	work    workFunc
 	slots   chan struct{}
-	mu      sync.Mutex
-	ran     []*arrival
+	// beats gets an entry after each heartbeat that somebody waits for.
+	beats chan struct{}
+	mu    sync.Mutex
+	ran   []*arrival
 }
 
 // startTarget starts a target on a free loopback port.
@@ -64,6 +66,7 @@
 		record:  r,
 		work:    work,
 		slots:   make(chan struct{}, targetSlots),
+		beats:   make(chan struct{}),
 	}
 	go t.accept()
 
@@ -82,6 +85,10 @@
 func (t *target) heartbeat(s *store) {
 	for range time.Tick(heartbeatInterval) {
 		s.put(targetsTopic, t.id, t.entry())
+		select {
+		case t.beats <- struct{}{}:
+		default:
+		}
 	}
 }
 
