--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"strconv"
 	"sync"
@@ -17,7 +16,6 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/recoverer"
 	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
-	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
 // relistGrace is how long removed targets stay listed after the store was unavailable:
@@ -42,93 +40,6 @@
 // maxTargets bounds the targets that are kept; more than the whole fleet has.
 const maxTargets = 200_000
 
-// ListFullError reports an entry that was skipped because the list has maxTargets targets.
-type ListFullError struct{}
-
-// Error implements error.
-func (e *ListFullError) Error() string {
-	return fmt.Sprintf("the list already has %d targets; remove entries that name no target", maxTargets)
-}
-
-// ChangedStartError reports an entry that names another service or address for a start of a
-// target than its earlier entries did. Both stay the same until a target starts again.
-type ChangedStartError struct {
-	service string
-	address string
-}
-
-// Error implements error.
-func (e *ChangedStartError) Error() string {
-	return fmt.Sprintf("this start of the target is at %s and in the service %s; another writer may have left the entry", e.address, e.service)
-}
-
-// Entry is the entry of a target in the store's list.
-type Entry struct {
-	target   *manifester.Target
-	service  string
-	draining bool
-	// warmUp is how much longer the target warms up, from when its entry is applied.
-	warmUp time.Duration
-	// startedMillis is when the target started, in Unix milliseconds; 0 where unknown.
-	startedMillis int64
-}
-
-// EntrySpec lists the attributes of an entry, with the units and meanings that they have
-// in Entry.
-type EntrySpec struct {
-	Target        manifester.TargetSpec
-	Service       string
-	Draining      bool
-	WarmUp        time.Duration
-	StartedMillis int64
-}
-
-// NewEntry returns an entry.
-func NewEntry(s EntrySpec) *Entry {
-	return &Entry{
-		target:        manifester.NewTarget(s.Target),
-		service:       s.Service,
-		draining:      s.Draining,
-		warmUp:        s.WarmUp,
-		startedMillis: s.StartedMillis,
-	}
-}
-
-// contradicts reports whether both entries are of one start of the target and name
-// different services or addresses.
-func (e *Entry) contradicts(f *Entry) bool {
-	return e.startedMillis == f.startedMillis && (e.service != f.service || e.target.Address() != f.target.Address())
-}
-
-// decode decodes the entry of the target id.
-type decode func(id string, value []byte) (*Entry, error)
-
-// Member is a target that may get requests.
-type Member struct {
-	entry *Entry
-	// key identifies this start of the target.
-	key estimator.Key
-	// warmUpEnd is the instant at which the target ends its warm-up.
-	warmUpEnd timer.Instant
-	// listedUntil is the instant from which on the target does not count as listed; 0
-	// while the store lists it.
-	listedUntil timer.Instant
-}
-
-// Target returns the target.
-func (m *Member) Target() *manifester.Target { return m.entry.target }
-
-// Key returns the key that identifies this start of the target.
-func (m *Member) Key() estimator.Key { return m.key }
-
-// WarmingUp reports whether the target is still warming up at the instant.
-func (m *Member) WarmingUp(now timer.Instant) bool { return now.Before(m.warmUpEnd) }
-
-// Listed reports whether the target counts as listed at the instant.
-func (m *Member) Listed(now timer.Instant) bool {
-	return m.listedUntil == 0 || now.Before(m.listedUntil)
-}
-
 // table is an immutable view of the list.
 type table struct {
 	// members maps target ids to members; draining targets are not included.
