Divide the targets of a data centre among its VMs

Cause: VMs know the open requests of others at a target from reports half a second old, and choose nearly blindly where a request is shorter than that. Requests wait for a slot while other targets are idle, and a VM with few requests opens a connection for nearly each of them.

Change: with the setting placement.assignTargets each VM prefers the targets of its data centre that rendezvous hashing assigns to it, while they have a free slot and cost no more than others. Tried before and dropped: subsets of six targets for repeatable requests with a preference for idle connections; several VMs then share a target without knowing each other's requests in time.

--- a/internal/assembler/store_chain.go
+++ b/internal/assembler/store_chain.go
@@ -53,6 +53,10 @@
 		operators,
 		v.stopper,
 	}
+	if v.assigner != nil {
+		v.controllers = append(v.controllers, v.assigner)
+		v.meter.RegisterGauge("targets.assigned", func() int64 { return int64(v.assigner.Size()) })
+	}
 }
 
 // chain returns the filter chain; the order of the filters is the order of their
--- a/internal/assembler/store_gossip.go
+++ b/internal/assembler/store_gossip.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/assigner"
 	"github.com/lagoonkeel/lagoonkeel/internal/decoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/encoder"
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
@@ -37,7 +38,7 @@
 		Logger:     v.logger,
 	})
 	broadcaster.delegate = v.gossiper
-	v.placer = placer.New(placer.Spec{
+	spec := placer.Spec{
 		DataCentre:  v.settings.DataCentre(),
 		Targets:     v.registrar,
 		Risks:       v.estimator,
@@ -48,7 +49,18 @@
 		Clock:       v.timers,
 		Degraded:    v.watcher.Degraded,
 		KeepOverdue: v.stopping,
-	})
+	}
+	if v.settings.AssignsTargets() {
+		v.assigner = assigner.New(assigner.Spec{
+			Self:       v.settings.Peers(),
+			DataCentre: v.settings.DataCentre(),
+			Fleet:      v.gossiper,
+			Targets:    v.registrar,
+			Clock:      v.timers,
+		})
+		spec.Assignment = v.assigner
+	}
+	v.placer = placer.New(spec)
 }
 
 // loads returns the number of open requests of this VM at each target.
--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/adopter"
+	"github.com/lagoonkeel/lagoonkeel/internal/assigner"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
@@ -39,8 +40,10 @@
 	tallier   *tallier.Tallier
 	watcher   *watcher.Watcher
 	placer    *placer.Placer
-	retries   *retrier.SharedRetrier
-	gossiper  *gossiper.Gossiper
+	// assigner is nil if this VM prefers no targets.
+	assigner *assigner.Assigner
+	retries  *retrier.SharedRetrier
+	gossiper *gossiper.Gossiper
 	// quarantine refuses requests that crash their targets.
 	quarantine *quarantiner.Quarantiner
 }
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -61,6 +61,8 @@
 	peerKeys  []string
 	logFormat logger.Format
 	tracing   Tracing
+	// assignsTargets is set if the targets of a data centre are divided among its VMs.
+	assignsTargets bool
 }
 
 // Exporter names a destination of trace spans.
@@ -129,6 +131,8 @@
 	PeerKeys  []string
 	LogFormat logger.Format
 	Tracing   Tracing
+	// AssignsTargets is optional.
+	AssignsTargets bool
 }
 
 // New returns the settings. It does not check them.
@@ -154,6 +158,8 @@
 		stopGrace:  s.StopGrace,
 		logFormat:  s.LogFormat,
 		tracing:    s.Tracing,
+
+		assignsTargets: s.AssignsTargets,
 	}
 }
 
@@ -225,6 +231,10 @@
 // is not ready.
 func (s *Settings) StopGrace() time.Duration { return s.stopGrace }
 
+// AssignsTargets reports whether the targets of a data centre are divided among its VMs.
+// Only VMs on the platform's store apply it.
+func (s *Settings) AssignsTargets() bool { return s.assignsTargets }
+
 // LogFormat returns the format of log lines.
 func (s *Settings) LogFormat() logger.Format { return s.logFormat }
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -262,6 +262,22 @@
 	return c.heard, c.known
 }
 
+// HeardIn returns the addresses of the other VMs in the data centre that are heard, in no
+// particular order.
+func (g *Gossiper) HeardIn(dataCentre string) []string {
+	now := g.spec.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []string
+	for _, p := range g.peers.byAddress {
+		if p.dataCentre == dataCentre && !p.left && g.peers.isHeard(now, p) {
+			list = append(list, p.address)
+		}
+	}
+
+	return list
+}
+
 // OpenRequests returns the number of open requests of the other VMs at the target,
 // according to their last reports.
 func (g *Gossiper) OpenRequests(k estimator.Key) int { return (*g.openRequests.Load())[k] }
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -61,6 +61,9 @@
 	local bool
 	// trial is set where the weight of the target was raised because it is idle.
 	trial bool
+	// reserve is set where the target gets trial requests only, since this VM prefers
+	// others.
+	reserve bool
 }
 
 // due reports whether the target is idle and should get a trial request. The bound is
@@ -156,6 +159,16 @@
 	return len(list) - 1
 }
 
+// baseWeight returns the weight of a target whose cost exceeds the lowest by excess,
+// without the trials.
+func (c candidate) baseWeight(excess float64) float64 {
+	if c.reserve {
+		return 0
+	}
+
+	return math.Exp(-excess/temperature) * c.slots / (1 + c.open)
+}
+
 // weigh returns the weight of each target and the sum of the weights. A weight falls
 // exponentially with the cost and grows with the slots per open attempt. The weights
 // of targets that are due for a trial are raised.
@@ -164,11 +177,13 @@
 	lowest := math.Inf(1)
 	for i, c := range list {
 		costs[i] = c.cost(p)
-		lowest = math.Min(lowest, costs[i])
+		if !c.reserve {
+			lowest = math.Min(lowest, costs[i])
+		}
 	}
 	weights = make([]float64, len(list))
 	for i, c := range list {
-		weights[i] = math.Exp((lowest-costs[i])/temperature) * c.slots / (1 + c.open)
+		weights[i] = c.baseWeight(costs[i] - lowest)
 		total += weights[i]
 	}
 	if len(list) == 0 {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -79,6 +79,8 @@
 	Leaving    leavingMarker
 	RemoteLoad remoteLoad
 	Clock      clock
+	// Assignment is nil if this VM prefers no targets.
+	Assignment Assignment
 	// Degraded reports whether too many of the service's requests are not served.
 	Degraded func(now timer.Instant, service string) bool
 	// KeepOverdue reports whether overdue attempts must not be abandoned.
@@ -185,13 +187,17 @@
 	l := latencyOf(p.routeLatencies, c.Route)
 	l.latencyGoal = cmp.Or(c.LatencyGoal, l.latencyGoal)
 	list := p.candidates(now, c)
-	i := choose(list, profile{
+	f := profile{
 		latency:        l.expected(),
 		latencyGoal:    l.latencyGoal,
 		serviceLatency: cmp.Or(latencyOf(p.serviceLatencies, c.Service).expected(), l.expected()),
 		repeatable:     c.Repeatable,
 		degraded:       p.spec.Degraded(now, c.Service),
-	})
+	}
+	if p.spec.Assignment != nil && !f.degraded {
+		preferAssigned(list, f, p.spec.Assignment)
+	}
+	i := choose(list, f)
 	if i < 0 {
 		return nil, false
 	}
--- /dev/null
+++ b/internal/placer/preference.go
@@ -0,0 +1,48 @@
+package placer
+
+import (
+	"math"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
+)
+
+// preferenceSlack is the cost by which a preferred target may exceed the cheapest one.
+const preferenceSlack = temperature
+
+// Assignment tells which targets are assigned to this VM.
+type Assignment interface {
+	Assigned(k estimator.Key) bool
+}
+
+// preferAssigned marks targets as reserves, which get trial requests only: all but the
+// targets assigned to this VM that have a free slot, or else all but those of any VM that
+// have one. A target that costs more than the cheapest by preferenceSlack is not preferred.
+// Where no target can be preferred, none is a reserve.
+func preferAssigned(list []candidate, p profile, a Assignment) {
+	lowest := math.Inf(1)
+	for _, c := range list {
+		lowest = math.Min(lowest, c.cost(p))
+	}
+	usable := func(c candidate) bool { return c.open < c.slots && c.cost(p) <= lowest+preferenceSlack }
+	assigned := func(c candidate) bool { return usable(c) && a.Assigned(c.member.Key()) }
+	if !reserveOthers(list, assigned) {
+		reserveOthers(list, usable)
+	}
+}
+
+// reserveOthers marks the targets that are not preferred as reserves, if any is preferred.
+// It reports whether one is.
+func reserveOthers(list []candidate, preferred func(c candidate) bool) bool {
+	found := false
+	for i := range list {
+		list[i].reserve = !preferred(list[i])
+		found = found || !list[i].reserve
+	}
+	if !found {
+		for i := range list {
+			list[i].reserve = false
+		}
+	}
+
+	return found
+}
--- /dev/null
+++ b/internal/placer/preference_test.go
@@ -0,0 +1,94 @@
+package placer
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
+	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// assignedTargets are the targets that are assigned to a VM.
+type assignedTargets map[estimator.Key]bool
+
+func (a assignedTargets) Assigned(k estimator.Key) bool { return a[k] }
+
+// TestPreferAssigned guards against a VM that overloads its assigned targets, insists on
+// failing ones or never tries the others again: it records the fraction of the requests
+// that each target gets.
+func TestPreferAssigned(t *testing.T) {
+	p := profile{latency: 100 * time.Millisecond, serviceLatency: 100 * time.Millisecond, latencyGoal: 400 * time.Millisecond}
+	members := listedMembers()
+	assigned := assignedTargets{members[0].Key(): true, members[1].Key(): true}
+	var out bytes.Buffer
+	for _, c := range []struct {
+		title  string
+		change func(list []candidate)
+	}{
+		{"a and b are assigned", func([]candidate) {}},
+		{"a is full", func(list []candidate) { list[0].open = 2 }},
+		{"a is suspect", func(list []candidate) { list[0].risk = 0.9 }},
+		{"a and b are full", func(list []candidate) { list[0].open, list[1].open = 2, 3 }},
+		{"a and b are full, c is too", func(list []candidate) { list[0].open, list[1].open, list[2].open = 2, 3, 2 }},
+		{"a and b are suspect", func(list []candidate) { list[0].risk, list[1].risk = 0.6, 0.6 }},
+		{"all are full", func(list []candidate) {
+			for i := range list {
+				list[i].open = 4
+			}
+		}},
+		{"d is idle", func(list []candidate) { list[3].open, list[3].age = 0, maxAge }},
+		{"c and d are in another data centre, a and b are full", func(list []candidate) {
+			list[0].open, list[1].open = 2, 2
+			list[2].local, list[3].local = false, false
+		}},
+	} {
+		list := make([]candidate, len(members))
+		for i, m := range members {
+			list[i] = candidate{
+				member: m,
+				risk:   0.01,
+				slots:  2,
+				open:   1,
+				local:  true,
+			}
+		}
+		c.change(list)
+		preferAssigned(list, p, assigned)
+		weights, total := weigh(list, p)
+		fmt.Fprintf(&out, "%s:", c.title)
+		for i, w := range weights {
+			fmt.Fprintf(&out, " %s %.3f", members[i].Target().Name(), w/total)
+		}
+		fmt.Fprintln(&out)
+	}
+	goldie.New(t).Assert(t, "assigned", out.Bytes())
+}
+
+// listedMembers returns four targets of one service.
+func listedMembers() []*registrar.Member {
+	targets := registrar.New(func(id string, _ []byte) (*registrar.Entry, error) {
+		return registrar.NewEntry(registrar.EntrySpec{
+			Target: manifester.TargetSpec{
+				Name:    id,
+				Address: "10.0.0.1:80",
+				Slots:   2,
+			},
+			Service: "quotes",
+		}), nil
+	}, logger.Discard())
+	var records []subscriber.Record
+	for i, id := range []string{"a", "b", "c", "d"} {
+		records = append(records, subscriber.NewRecord(id, []byte("-"), subscriber.Offset(i)))
+	}
+	targets.Replace(timer.Instant(time.Hour), records)
+
+	return targets.Members("quotes")
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -97,6 +97,14 @@
 // caller must not change the slice.
 func (r *Registrar) Members(service string) []*Member { return r.table.Load().services[service] }
 
+// EachService calls f with each service and its targets; some may no longer be listed. f must
+// not change the slice.
+func (r *Registrar) EachService(f func(service string, members []*Member)) {
+	for s, list := range r.table.Load().services {
+		f(s, list)
+	}
+}
+
 // TargetName returns the name of the target with the key, or "" where there is none.
 func (r *Registrar) TargetName(k estimator.Key) string {
 	for id, m := range r.table.Load().members {
