Relay long records of the store in pieces

Cause: a record that does not fit a packet was not relayed between VMs, so each change of a configuration cost one call to the store per VM.

Change: with the setting platform.relayedRecordKB the VM that read such a record relays it in pieces; a VM that lacks one reads the store as before. VMs of earlier versions skip such reports.

--- a/internal/assembler/store_gossip.go
+++ b/internal/assembler/store_gossip.go
@@ -36,6 +36,8 @@
 		Quarantine: v.quarantine,
 		Loads:      v.loads,
 		Logger:     v.logger,
+
+		MaxRelayedRecord: v.settings.MaxRelayedRecord(),
 	})
 	broadcaster.delegate = v.gossiper
 	spec := placer.Spec{
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -63,6 +63,9 @@
 	tracing   Tracing
 	// assignsTargets is set if the targets of a data centre are divided among its VMs.
 	assignsTargets bool
+	// maxRelayedRecord is the length, in bytes, up to which records of the store are
+	// relayed in pieces; 0 if none are.
+	maxRelayedRecord int
 }
 
 // Exporter names a destination of trace spans.
@@ -133,6 +136,8 @@
 	Tracing   Tracing
 	// AssignsTargets is optional.
 	AssignsTargets bool
+	// MaxRelayedRecord is optional.
+	MaxRelayedRecord int
 }
 
 // New returns the settings. It does not check them.
@@ -159,7 +164,8 @@
 		logFormat:  s.LogFormat,
 		tracing:    s.Tracing,
 
-		assignsTargets: s.AssignsTargets,
+		assignsTargets:   s.AssignsTargets,
+		maxRelayedRecord: s.MaxRelayedRecord,
 	}
 }
 
@@ -235,6 +241,10 @@
 // Only VMs on the platform's store apply it.
 func (s *Settings) AssignsTargets() bool { return s.assignsTargets }
 
+// MaxRelayedRecord returns the length, in bytes, up to which records of the store that do
+// not fit a packet are relayed to other VMs in pieces, or 0 if none are.
+func (s *Settings) MaxRelayedRecord() int { return s.maxRelayedRecord }
+
 // LogFormat returns the format of log lines.
 func (s *Settings) LogFormat() logger.Format { return s.logFormat }
 
--- a/internal/decoder/report.go
+++ b/internal/decoder/report.go
@@ -98,6 +98,13 @@
 	return s
 }
 
+func (c *cursor) texts() []string {
+	var list []string
+	c.list(func() { list = append(list, c.text()) })
+
+	return list
+}
+
 // Report decodes a report of another VM. Evidence with an unknown outcome is skipped. The
 // error is a *ReportError.
 func Report(data []byte) (*gossiper.Report, error) {
@@ -142,6 +149,9 @@
 	if flags&encoder.ReportOrigin != 0 {
 		spec.Origin = c.text()
 	}
+	if flags&encoder.ReportPiece != 0 {
+		spec.Piece = readPiece(c)
+	}
 	if c.failed || len(c.rest) > 0 {
 		return nil, &ReportError{
 			reason: "truncated, malformed or too long",
@@ -171,12 +181,26 @@
 
 	var passTo []string
 	if passOn {
-		c.list(func() { passTo = append(passTo, c.text()) })
+		passTo = c.texts()
 	}
 
 	return gossiper.NewRelay(topic, from, to, records, passTo...)
 }
 
+func readPiece(c *cursor) *gossiper.Piece {
+	return gossiper.NewPiece(gossiper.PieceSpec{
+		Topic:  c.uvarint(),
+		From:   subscriber.Offset(c.uvarint()),
+		To:     subscriber.Offset(c.uvarint()),
+		Offset: subscriber.Offset(c.uvarint()),
+		Key:    c.text(),
+		Index:  c.uvarint(),
+		Count:  c.uvarint(),
+		Data:   []byte(c.text()),
+		PassTo: c.texts(),
+	})
+}
+
 func readMark(c *cursor) quarantiner.Mark {
 	f := quarantiner.Fingerprint(c.text())
 	if target := c.text(); target != "" {
--- a/internal/decoder/report_test.go
+++ b/internal/decoder/report_test.go
@@ -33,6 +33,17 @@
 			subscriber.NewRecord("i-1", []byte(`{"a":1}`), 97),
 			subscriber.NewRecord("i-2", nil, 98),
 		}, "10.0.0.1:7000", "10.0.0.2:7000"),
+		Piece: gossiper.NewPiece(gossiper.PieceSpec{
+			Topic:  0,
+			From:   40,
+			To:     42,
+			Offset: 41,
+			Key:    "config",
+			Index:  1,
+			Count:  3,
+			Data:   []byte(`{"routes":`),
+			PassTo: []string{"10.0.0.4:7000"},
+		}),
 	})
 }
 
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -33,6 +33,9 @@
 	// maxExtra and maxWindowSeconds bound the settings of the retry allowance.
 	maxExtra         = 1_000_000
 	maxWindowSeconds = 3600
+	// maxRelayedRecordKB bounds the setting of the records that are relayed in pieces.
+	maxRelayedRecordKB = 64
+	bytesPerKB         = 1 << 10
 )
 
 // Settings decodes a settings document. The error is manifester.Faults.
@@ -65,6 +68,7 @@
 			spec.VMListURL = o.baseURL("vms")
 		}
 		spec.ReadyPath = o.optionalText("readyPath", "")
+		spec.MaxRelayedRecord = int(o.integer("relayedRecordKB", 0, 0, maxRelayedRecordKB)) * bytesPerKB
 		spec.Retention = o.duration("logRetentionMs", configurer.DefaultRetention, minRetention, maxRetention)
 	})
 	r.object("retries", func(o *reader) {
--- a/internal/encoder/report.go
+++ b/internal/encoder/report.go
@@ -25,6 +25,9 @@
 	ReportOrigin = 32
 	// ReportRegular is set in the report of a round.
 	ReportRegular = 64
+	// ReportPiece is set if the report ends with a piece of a relayed record. VMs that do
+	// not know it skip the report, since it is longer than they expect.
+	ReportPiece = 128
 )
 
 // The bits of a position's flags.
@@ -89,10 +92,26 @@
 	if r.Origin() != "" {
 		b = appendText(b, r.Origin())
 	}
+	if r.Piece() != nil {
+		b = appendPiece(b, r.Piece())
+	}
 
 	return b
 }
 
+func appendPiece(b []byte, p *gossiper.Piece) []byte {
+	b = binary.AppendUvarint(b, uint64(p.Topic()))
+	b = binary.AppendUvarint(b, uint64(p.From()))   //nolint:gosec // Offsets are not below 0.
+	b = binary.AppendUvarint(b, uint64(p.To()))     //nolint:gosec // Offsets are not below 0.
+	b = binary.AppendUvarint(b, uint64(p.Offset())) //nolint:gosec // Offsets are not below 0.
+	b = appendText(b, p.Key())
+	b = binary.AppendUvarint(b, uint64(p.Index()))
+	b = binary.AppendUvarint(b, uint64(p.Count()))
+	b = appendText(b, string(p.Data()))
+
+	return appendTexts(b, p.PassTo())
+}
+
 func reportFlags(r *gossiper.Report) byte {
 	flags := flagBit(r.Leaving(), ReportLeaving)
 	flags |= flagBit(r.RequestsEstimates(), ReportAsking)
@@ -101,6 +120,7 @@
 	flags |= flagBit(r.Spread(), ReportSpread)
 	flags |= flagBit(r.Origin() != "", ReportOrigin)
 	flags |= flagBit(r.Regular(), ReportRegular)
+	flags |= flagBit(r.Piece() != nil, ReportPiece)
 
 	return flags
 }
@@ -119,12 +139,8 @@
 	if len(r.PassTo()) == 0 {
 		return b
 	}
-	b = binary.AppendUvarint(b, uint64(len(r.PassTo())))
-	for _, address := range r.PassTo() {
-		b = appendText(b, address)
-	}
 
-	return b
+	return appendTexts(b, r.PassTo())
 }
 
 func flagBit(v bool, bit byte) byte {
@@ -138,3 +154,12 @@
 func appendText(b []byte, s string) []byte {
 	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
 }
+
+func appendTexts(b []byte, list []string) []byte {
+	b = binary.AppendUvarint(b, uint64(len(list)))
+	for _, s := range list {
+		b = appendText(b, s)
+	}
+
+	return b
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -130,6 +130,9 @@
 	Quarantine quarantine
 	Loads      loadFunc
 	Logger     *logger.Logger
+	// MaxRelayedRecord is the length, in bytes, up to which a record that does not fit a
+	// packet is relayed in pieces; 0 if none is.
+	MaxRelayedRecord int
 }
 
 // Gossiper is the controller that sends and receives reports.
@@ -161,6 +164,8 @@
 	// of them was logged; only the goroutine that receives uses it.
 	skipped        metrics.Counter
 	lastSkipLogged timer.Instant
+	// pieces joins the pieces of relayed records; only the goroutine that receives uses it.
+	pieces collector
 	// readers are set before Run. The index of a reader is the number of its topic.
 	readers []reader
 }
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -163,9 +163,15 @@
 // updateReaders passes the records and the positions of a report to the readers
 // of the topics.
 func (g *Gossiper) updateReaders(r *Report) {
-	if q := r.relay; q != nil && int(q.topic) < len(g.readers) {
-		g.passOn(q)
-		g.readers[q.topic].ApplyForwarded(q.from, q.to, q.records)
+	if q := r.relay; q != nil {
+		g.passOn(relayPart{relay: q}, q.passTo)
+		g.applyRelay(q)
+	}
+	if q := r.piece; q != nil {
+		g.passOn(relayPart{piece: q}, q.passTo)
+		if whole := g.pieces.add(q); whole != nil {
+			g.applyRelay(whole)
+		}
 	}
 	for _, q := range r.positions {
 		if int(q.topic) < len(g.readers) {
@@ -176,3 +182,10 @@
 		}
 	}
 }
+
+// applyRelay applies relayed records to their topic.
+func (g *Gossiper) applyRelay(r *Relay) {
+	if int(r.topic) < len(g.readers) {
+		g.readers[r.topic].ApplyForwarded(r.from, r.to, r.records)
+	}
+}
--- a/internal/gossiper/report.go
+++ b/internal/gossiper/report.go
@@ -147,6 +147,8 @@
 	estimates         []estimator.Estimate
 	// relay holds relayed records of a topic; nil without any.
 	relay *Relay
+	// piece is a part of a relayed record; nil without one.
+	piece *Piece
 	// spread is set where the receiver passes the report on to the VMs in its data centre.
 	spread bool
 	// origin is the address of the VM that the report is about, where another VM passed it
@@ -169,6 +171,7 @@
 	RequestsEstimates bool
 	Estimates         []estimator.Estimate
 	Relay             *Relay
+	Piece             *Piece
 	Spread            bool
 	Origin            string
 }
@@ -188,6 +191,7 @@
 		requestsEstimates: s.RequestsEstimates,
 		estimates:         s.Estimates,
 		relay:             s.Relay,
+		piece:             s.Piece,
 		spread:            s.Spread,
 		origin:            s.Origin,
 	}
@@ -251,5 +255,8 @@
 // Relay returns the relayed records of a topic, or nil.
 func (r *Report) Relay() *Relay { return r.relay }
 
+// Piece returns a part of a relayed record, or nil.
+func (r *Report) Piece() *Piece { return r.piece }
+
 // Marks returns the marks of requests that crashed targets or got whole answers.
 func (r *Report) Marks() []quarantiner.Mark { return r.marks }
--- a/internal/gossiper/topics.go
+++ b/internal/gossiper/topics.go
@@ -45,43 +45,59 @@
 
 // Forward relays records of a topic to the given partition of the VMs, in as many
 // reports as are needed. In a large fleet, some of these VMs pass the records on to others
-// in their data centre. Where a record does not fit a packet, the VMs get only the
-// position of this one, and read the records from the store themselves.
+// in their data centre. Where a record is too long, the VMs get only the position of this
+// one, and read the records from the store themselves.
 func (g *Gossiper) Forward(topic string, partition subscriber.Partition, from, to subscriber.Offset, records []subscriber.Record) {
 	i := g.index(topic)
 	if i < 0 {
 		return
 	}
 	positions := g.positions()
-	relays := splitRelays(uint32(i), from, to, records) //nolint:gosec // There are only a few topics.
+	parts := g.splitRelays(uint32(i), from, to, records) //nolint:gosec // There are only a few topics.
 	g.mu.Lock()
 	groups := g.relayGroups(g.spec.Clock.Now(), partition)
 	g.mu.Unlock()
 	var direct []string
 	for _, group := range groups {
-		if len(group) == 1 || len(relays) == 0 {
+		if len(group) == 1 || len(parts) == 0 {
 			direct = append(direct, group...)
 		} else {
-			g.sendRelays(relays, positions, group[1:], group[:1])
+			g.sendRelays(parts, positions, group[1:], group[:1])
 		}
 	}
-	g.sendRelays(relays, positions, nil, direct)
+	g.sendRelays(parts, positions, nil, direct)
 }
 
-// sendRelays sends the relays, and the positions with the last of them, to VMs, which
-// pass the records on to those in passTo.
-func (g *Gossiper) sendRelays(relays []*Relay, positions []Position, passTo, to []string) {
+// relayPart is what one report relays: either whole records or a piece of one.
+type relayPart struct {
+	relay *Relay
+	piece *Piece
+}
+
+// addTo adds the part to a report, whose receiver passes it on to the VMs in passTo.
+func (p relayPart) addTo(r *Report, passTo []string) {
+	if p.relay != nil {
+		r.relay = p.relay.passedOnTo(passTo)
+	}
+	if p.piece != nil {
+		r.piece = p.piece.passedOnTo(passTo)
+	}
+}
+
+// sendRelays sends the parts, and the positions with the last of them, to VMs, which
+// pass the parts on to those in passTo.
+func (g *Gossiper) sendRelays(parts []relayPart, positions []Position, passTo, to []string) {
 	if len(to) == 0 {
 		return
 	}
-	reports := make([]*Report, max(1, len(relays)))
+	reports := make([]*Report, max(1, len(parts)))
 	g.mu.Lock()
 	for k := range reports {
 		reports[k] = g.newReport()
 	}
 	g.mu.Unlock()
-	for k, y := range relays {
-		reports[k].relay = y.passedOnTo(passTo)
+	for k, p := range parts {
+		p.addTo(reports[k], passTo)
 	}
 	reports[len(reports)-1].positions = positions
 	for _, r := range reports {
@@ -121,38 +137,57 @@
 	return groups
 }
 
-// passOn sends relayed records on to the VMs that the sender named, as far as they are
-// known.
-func (g *Gossiper) passOn(r *Relay) {
-	if len(r.passTo) == 0 {
+// passOn sends a part on to the VMs that the sender named, as far as they are known.
+func (g *Gossiper) passOn(p relayPart, passTo []string) {
+	if len(passTo) == 0 {
 		return
 	}
 	g.mu.Lock()
 	next := g.newReport()
-	next.relay = r.passedOnTo(nil)
-	to := slices.DeleteFunc(slices.Clone(r.passTo), func(a string) bool { return g.peers.byAddress[a] == nil })
+	p.addTo(next, nil)
+	to := slices.DeleteFunc(slices.Clone(passTo), func(a string) bool { return g.peers.byAddress[a] == nil })
 	g.mu.Unlock()
 	g.send(next, to)
 }
 
-// splitRelays divides records into relays that fit one packet each. It returns nil
-// where a record does not fit.
-func splitRelays(topic uint32, from, to subscriber.Offset, records []subscriber.Record) []*Relay {
-	var relays []*Relay
+// splitRelays divides records into parts that fit one packet each. It returns nil where
+// a record is too long to be relayed.
+func (g *Gossiper) splitRelays(topic uint32, from, to subscriber.Offset, records []subscriber.Record) []relayPart {
+	var parts []relayPart
 	begin, size := 0, 0
+	// closePart ends the part of whole records before the i-th one.
+	closePart := func(i int, end subscriber.Offset) {
+		if begin < i || end > from {
+			parts = append(parts, relayPart{
+				relay: NewRelay(topic, from, end, records[begin:i]),
+			})
+		}
+		from, begin, size = end, i, 0
+	}
 	for i, x := range records {
 		n := len(x.Key()) + len(x.Value())
-		if n > maxRelay {
+		if n > max(maxRelay, g.spec.MaxRelayedRecord) {
 			return nil
 		}
-		if size+n > maxRelay {
-			relays = append(relays, NewRelay(topic, from, x.Offset(), records[begin:i]))
-			from, begin, size = x.Offset(), i, 0
+		if size+n > maxRelay && i > begin {
+			closePart(i, x.Offset())
+		}
+		if n > maxRelay {
+			end := x.Offset() + 1
+			for _, p := range splitRecord(topic, from, end, x) {
+				parts = append(parts, relayPart{
+					piece: p,
+				})
+			}
+			from, begin = end, i+1
+
+			continue
 		}
 		size += n
 	}
+	closePart(len(records), to)
 
-	return append(relays, NewRelay(topic, from, to, records[begin:]))
+	return parts
 }
 
 // positions returns the positions of this VM; it takes the locks of the readers.
