Keep requests away from evacuated data centres

Cause: an operator had no way to take all targets of a data centre out of use; only the targets themselves could leave the list.

Change: the evacuator, a second view of the topic that operators write, holds the evacuated data centres. The registrar leaves their targets out of the members of each service, which first attempts, retries and trials use. Events 511 and 512, the gauge targets.evacuated and GET /status show it, and a refusal for lack of a target names the evacuation in its basis.

--- a/internal/assembler/store_chain.go
+++ b/internal/assembler/store_chain.go
@@ -13,7 +13,8 @@
 // addControllers builds the subscribers, passes them to the gossiper, registers their
 // gauges, and lists the controllers of the process.
 func (v *StoreVM) addControllers(operators *operatorServer) {
-	configurations := subscriber.New("configurations", v.store.Topic(adapter.ConfigTopic), v.adopter, v.gossiper, v.timers, v.logger)
+	operatorViews := subscriber.NewFanOut(v.adopter, v.evacuator)
+	configurations := subscriber.New("configurations", v.store.Topic(adapter.ConfigTopic), operatorViews, v.gossiper, v.timers, v.logger)
 	targets := subscriber.New("targets", v.store.Topic(adapter.TargetsTopic), v.registrar, v.gossiper, v.timers, v.logger)
 	vms := subscriber.New("vms", v.store.Topic(adapter.PeersTopic), v.gossiper, v.gossiper, v.timers, v.logger).LowPriority()
 	v.gossiper.SetReaders(configurations, targets, vms)
--- a/internal/assembler/store_operators.go
+++ b/internal/assembler/store_operators.go
@@ -9,12 +9,13 @@
 // registerMetrics registers the gauges and counters of the parts with the meter.
 func (v *StoreVM) registerMetrics() {
 	for name, read := range map[string]func() int64{
-		"log.dropped":     v.lines.Dropped,
-		"targets.listed":  func() int64 { return int64(v.registrar.Size()) },
-		"targets.suspect": func() int64 { return int64(v.estimator.SuspectCount(v.timers.Now())) },
-		"config.version":  func() int64 { return int64(v.adopter.Manifest().Version()) },
-		"vms.heard":       v.heard,
-		"vms.known":       v.known,
+		"log.dropped":       v.lines.Dropped,
+		"targets.listed":    func() int64 { return int64(v.registrar.Size()) },
+		"targets.evacuated": func() int64 { return int64(v.registrar.EvacuatedCount()) },
+		"targets.suspect":   func() int64 { return int64(v.estimator.SuspectCount(v.timers.Now())) },
+		"config.version":    func() int64 { return int64(v.adopter.Manifest().Version()) },
+		"vms.heard":         v.heard,
+		"vms.known":         v.known,
 	} {
 		v.meter.RegisterGauge(name, read)
 	}
@@ -33,6 +34,7 @@
 		mux.HandleFunc("GET "+p, readyHandler(v.inRotation))
 	}
 	mux.HandleFunc("GET /live", serveLive)
+	mux.HandleFunc("GET /status", v.serveStatus)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		_ = v.meter.WriteText(w) // The client may have disconnected.
--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -11,6 +11,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/adopter"
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
+	"github.com/lagoonkeel/lagoonkeel/internal/evacuator"
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
 	"github.com/lagoonkeel/lagoonkeel/internal/gossiper"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
@@ -35,6 +36,7 @@
 	store     *adapter.Client
 	adopter   *adopter.Adopter
 	registrar *registrar.Registrar
+	evacuator *evacuator.Evacuator
 	estimator *estimator.Estimator
 	tallier   *tallier.Tallier
 	watcher   *watcher.Watcher
@@ -65,6 +67,7 @@
 		adopter:   adopter.New(adapter.ConfigKey, adapter.DecodeConfig, l),
 		registrar: registrar.New(adapter.DecodeTarget, l),
 	}
+	v.evacuator = evacuator.New(adapter.DecodeEvacuation, v.registrar, l)
 	v.estimator = estimator.New(&suspicionLog{
 		names:  v.registrar,
 		logger: l,
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -129,6 +129,7 @@
 	for _, kinds := range [][]logger.Event{
 		{logger.Started, logger.Stopping, logger.Stopped},
 		{logger.ConfigTaken, logger.ConfigSkipped},
+		{logger.EvacuationBegan, logger.EvacuationEnded},
 		{logger.StoreLost, logger.StoreRegained},
 		{logger.PeerHeard, logger.PeerLost},
 	} {
--- a/internal/explainer/reason.go
+++ b/internal/explainer/reason.go
@@ -52,12 +52,23 @@
 	case logger.RequestLeft.Name():
 		return "the caller closed its connection before it got the response"
 	case logger.RequestRefused.Name():
-		return cmp.Or(reasons[handler.Code(l.get("code"))], l.get("reason"), "the line gives no reason")
+		return cmp.Or(reasons[handler.Code(l.get("code"))], l.get("reason"), "the line gives no reason") + evacuation(l)
 	default:
 		return "the request was served"
 	}
 }
 
+// evacuation returns the note that data centres with targets of the service were evacuated,
+// or "".
+func evacuation(l *line) string {
+	names, evacuated := strings.CutPrefix(l.get("basis"), handler.EvacuatedBasis)
+	if !evacuated {
+		return ""
+	}
+
+	return "; an operator had evacuated " + strings.ReplaceAll(names, ",", ", ") + ", where the service has targets"
+}
+
 // attempt is one attempt to serve the request.
 type attempt struct {
 	target string
--- a/internal/filterer/place.go
+++ b/internal/filterer/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
@@ -24,6 +25,8 @@
 	// Wait returns the time until a target of the service may get an attempt again,
 	// if all of them are paused; otherwise 0.
 	Wait(now timer.Instant, service string) time.Duration
+	// Evacuated returns the evacuated data centres that have targets of the service.
+	Evacuated(service string) []string
 }
 
 // attemptMeter records the duration of attempts by target.
@@ -67,10 +70,7 @@
 		Abandon:     func() { cancel(handler.ErrAbandoned) },
 	})
 	if !ok {
-		jitter := maxNoTargetWait/2 + rand.N(maxNoTargetWait/2) //nolint:gosec // The jitter spreads callers' retries and needs no cryptographic randomness.
-		wait := p.placer.Wait(begun, x.Service().Name()) + jitter
-
-		return handler.NewRefusal(handler.CodeNoTarget, "no target of the service can take the request").WithRetryAfter(wait)
+		return p.noTarget(begun, x.Service().Name())
 	}
 	x.SetTarget(a.Member().Target())
 	x.SetRiskAndTrial(a.Risk(), a.Trial())
@@ -89,6 +89,18 @@
 	return err
 }
 
+// noTarget returns the refusal of a request for which no target is left.
+func (p *Place) noTarget(now timer.Instant, service string) *handler.Refusal {
+	jitter := maxNoTargetWait/2 + rand.N(maxNoTargetWait/2) //nolint:gosec // The jitter spreads callers' retries and needs no cryptographic randomness.
+	refusal := handler.NewRefusal(handler.CodeNoTarget, "no target of the service can take the request").
+		WithRetryAfter(p.placer.Wait(now, service) + jitter)
+	if names := p.placer.Evacuated(service); len(names) > 0 {
+		refusal = refusal.WithBasis(handler.EvacuatedBasis + strings.Join(names, ","))
+	}
+
+	return refusal
+}
+
 // placementResult returns what the result of an attempt implies about its target.
 func placementResult(a *handler.Attempt) placer.Result {
 	r := placer.Result{
--- a/internal/filterer/place_test.go
+++ b/internal/filterer/place_test.go
@@ -44,6 +44,8 @@
 
 func (o *oneTarget) Members(string) []*registrar.Member { return o.members }
 
+func (*oneTarget) Evacuated(string) []string { return nil }
+
 // panicking is the end of a chain that panics.
 type panicking struct{}
 
--- a/internal/filterer/retry.go
+++ b/internal/filterer/retry.go
@@ -100,7 +100,7 @@
 	}
 	var r *handler.Refusal
 	if mayHaveRun && errors.As(err, &r) && r.Outcome() == handler.OutcomeNotRun {
-		return handler.NewUnknownOutcome(r.Code(), r.Reason()+"; an earlier attempt may have run the request")
+		return handler.NewUnknownOutcome(r.Code(), r.Reason()+"; an earlier attempt may have run the request").WithBasis(r.Basis())
 	}
 
 	return err
--- a/internal/handler/refusal.go
+++ b/internal/handler/refusal.go
@@ -22,6 +22,10 @@
 // that was not produced by an upstream.
 const OutcomeField = "Lagoonkeel-Outcome"
 
+// EvacuatedBasis precedes the evacuated data centres, separated by commas, in the basis of
+// a refusal for lack of a target.
+const EvacuatedBasis = "evacuated="
+
 // Code is the stable identifier of a kind of refusal.
 type Code string
 
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -62,6 +62,8 @@
 	TargetSkipped       = Event{number: 506, level: LevelWarn, name: "target-skipped", meaning: "An entry of the store's target list is not valid and is ignored; the other entries stay in use."}
 	TargetSuspected     = Event{number: 507, level: LevelWarn, name: "target-suspected", meaning: "The evidence of the fleet indicates that the target probably fails; it gets requests only where no better target is left."}
 	TargetTrusted       = Event{number: 508, level: LevelInfo, name: "target-trusted", meaning: "The evidence of the fleet indicates that the target probably works."}
+	EvacuationBegan     = Event{number: 511, level: LevelInfo, name: "evacuation-began", meaning: "An operator has evacuated the data centre; its targets get no new requests from this VM."}
+	EvacuationEnded     = Event{number: 512, level: LevelInfo, name: "evacuation-ended", meaning: "The evacuation of the data centre has ended; its targets may get requests again. The offset is that of the last record about it."}
 	TargetLeaving       = Event{number: 503, level: LevelInfo, name: "target-leaving", meaning: "A target is draining and gets no new requests."}
 )
 
@@ -85,7 +87,7 @@
 		ClaimsLogged, ClaimsInMemory, ClaimsIncomplete, ClaimsUnreadable,
 		TargetEjected, TargetReduced, TargetReturned, TargetLeaving,
 		TargetListed, TargetGone, TargetSkipped, TargetSuspected, TargetTrusted,
-		Quarantined,
+		Quarantined, EvacuationBegan, EvacuationEnded,
 		RequestServed, RequestRepeated, RequestFailed, RequestRefused, RequestLeft,
 	}
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -33,6 +33,8 @@
 
 type targetList interface {
 	Members(service string) []*registrar.Member
+	// Evacuated returns the evacuated data centres that have targets of the service.
+	Evacuated(service string) []string
 }
 
 type riskSource interface {
@@ -275,6 +277,9 @@
 	return first.Sub(now)
 }
 
+// Evacuated returns the evacuated data centres that have targets of the service.
+func (p *Placer) Evacuated(service string) []string { return p.spec.Targets.Evacuated(service) }
+
 // NoteFull records that a target had no capacity for a request of another VM.
 func (p *Placer) NoteFull(now timer.Instant, k estimator.Key) {
 	p.mu.Lock()
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -40,14 +40,6 @@
 // maxTargets bounds the targets that are kept; more than the whole fleet has.
 const maxTargets = 200_000
 
-// table is an immutable view of the list.
-type table struct {
-	// members maps target ids to members; draining targets are not included.
-	members map[string]*Member
-	// services holds the members of each service in the order of their ids.
-	services map[string][]*Member
-}
-
 // Registrar holds the list of targets. Requests read it through an atomic
 // pointer.
 type Registrar struct {
@@ -63,6 +55,8 @@
 	// the instant at which each was last marked or listed. A list entry of such a start is
 	// ignored, whatever state it names.
 	leaving map[estimator.Key]timer.Instant
+	// evacuations decides which members their services lack.
+	evacuations evacuations
 	// loaded is set once the list has been read.
 	loaded atomic.Bool
 	// storeLostAt is when the store stopped answering this VM; 0 while it answers.
@@ -84,6 +78,9 @@
 		logger:  l,
 		skipped: map[string]subscriber.Offset{},
 		leaving: map[estimator.Key]timer.Instant{},
+		evacuations: evacuations{
+			returnEnds: map[string]timer.Instant{},
+		},
 	}
 	r.table.Store(&table{})
 
@@ -93,8 +90,8 @@
 // Ready reports whether the list has been read.
 func (r *Registrar) Ready() bool { return r.loaded.Load() }
 
-// Members returns the targets of a service; some may no longer be listed. The
-// caller must not change the slice.
+// Members returns the targets of a service without those in evacuated data centres; some
+// may no longer be listed. The caller must not change the slice.
 func (r *Registrar) Members(service string) []*Member { return r.table.Load().services[service] }
 
 // TargetName returns the name of the target with the key, or "" where there is none.
@@ -119,7 +116,7 @@
 	return m.entry.service, true
 }
 
-// Size returns the number of members.
+// Size returns the number of members, including those in evacuated data centres.
 func (r *Registrar) Size() int { return len(r.table.Load().members) }
 
 // StoreReached records that the store answered this VM.
@@ -222,10 +219,12 @@
 	return true
 }
 
-// Forget removes the marks of targets that left long ago.
+// Forget removes the marks of targets that left long ago, and of data centres that are no
+// longer evacuated.
 func (r *Registrar) Forget(now timer.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.evacuations.forgetReturns(now)
 	maps.DeleteFunc(r.leaving, func(_ estimator.Key, seen timer.Instant) bool { return now.Sub(seen) > leavingRetention })
 }
 
@@ -289,6 +288,7 @@
 		entry:     entry,
 		key:       estimator.Key(hasher.Sum(id, strconv.FormatInt(entry.startedMillis, 10))),
 		warmUpEnd: now.Add(entry.warmUp),
+		returnEnd: r.evacuations.returnEnds[entry.target.DataCentre()],
 	}
 	if _, leaving := r.leaving[m.key]; leaving {
 		r.leaving[m.key] = now
--- a/internal/registrar/table.go
+++ b/internal/registrar/table.go
@@ -5,15 +5,29 @@
 	"strings"
 )
 
+// table is an immutable view of the list.
+type table struct {
+	// members maps target ids to members; draining targets are not included.
+	members map[string]*Member
+	// services holds the members of each service in the order of their ids, without those
+	// in evacuated data centres.
+	services map[string][]*Member
+	// evacuated holds the evacuated data centres of the members of each service that has
+	// such members, in the order of their names.
+	evacuated map[string][]string
+	// evacuatedCount is the number of members in evacuated data centres.
+	evacuatedCount int
+}
+
 // publish replaces the table by one of the members.
 func (r *Registrar) publish(members map[string]*Member) {
 	next := &table{
-		members:  members,
-		services: map[string][]*Member{},
+		members:   members,
+		services:  map[string][]*Member{},
+		evacuated: map[string][]string{},
 	}
 	for _, m := range members {
-		s := m.entry.service
-		next.services[s] = append(next.services[s], m)
+		next.add(m, r.evacuations.dataCentres[m.Target().DataCentre()])
 	}
 	for _, list := range next.services {
 		slices.SortFunc(list, func(a, b *Member) int {
@@ -22,3 +36,18 @@
 	}
 	r.table.Store(next)
 }
+
+// add adds a member to its service.
+func (t *table) add(m *Member, evacuated bool) {
+	service := m.entry.service
+	if !evacuated {
+		t.services[service] = append(t.services[service], m)
+
+		return
+	}
+	t.evacuatedCount++
+	names := t.evacuated[service]
+	if i, found := slices.BinarySearch(names, m.Target().DataCentre()); !found {
+		t.evacuated[service] = slices.Insert(names, i, m.Target().DataCentre())
+	}
+}
