--- a/internal/commander/cmd_status.go
+++ b/internal/commander/cmd_status.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -53,16 +54,24 @@
 	return fmt.Sprintf("the VM answered with HTTP status %d; check that the address is that of its operators' listener", e.status)
 }
 
-// vmStatus is a VM's status with the fields that the table shows.
+// vmStatus is a VM's status with the fields that the tables show.
 type vmStatus struct {
 	ID      string `json:"id"`
 	Version int64  `json:"version"`
-	Next    int64  `json:"next"`
 	Ready   bool   `json:"ready"`
-	Fresh   bool   `json:"fresh"`
-	Members int    `json:"members"`
-	Epoch   int64  `json:"epoch"`
-	Ranges  int    `json:"ranges"`
+	// Next, Fresh, Members, Epoch and Ranges are those of a VM on the log.
+	Next    int64 `json:"next"`
+	Fresh   bool  `json:"fresh"`
+	Members int   `json:"members"`
+	Epoch   int64 `json:"epoch"`
+	Ranges  int   `json:"ranges"`
+	// Heard, Known, Targets, EvacuatedTargets and Evacuated are those of a VM on the
+	// platform's store; Targets is nil for a VM on the log.
+	Heard            int      `json:"heard"`
+	Known            int      `json:"known"`
+	Targets          *int     `json:"targets"`
+	EvacuatedTargets int      `json:"evacuatedTargets"`
+	Evacuated        []string `json:"evacuated"`
 	// raw is the body of the response, up to maxStatusBytes.
 	raw []byte
 }
@@ -75,25 +84,25 @@
 	lines := &printer{
 		out: c.OutOrStdout(),
 	}
-	columns := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, columnGap, ' ', 0)
-	if !asJSON {
-		lines.out = columns
-		lines.line("ADDRESS\tVM\tVERSION\tNEXT\tREADY\tFRESH\tMEMBERS\tEPOCH\tRANGES")
+	table := &statusTable{
+		out: c.OutOrStdout(),
 	}
 	failed := 0
 	for _, address := range args {
 		s, err := fetchStatus(ctx, address)
+		if err != nil {
+			failed++
+		}
 		switch {
+		case !asJSON:
+			table.add(address, s, err)
 		case err != nil:
-			failed++
 			lines.line("%s\t%v", address, err)
-		case asJSON:
-			lines.line("%s", s.raw)
 		default:
-			lines.line("%s\t%s\t%d\t%d\t%v\t%v\t%d\t%d\t%d", address, s.ID, s.Version, s.Next, s.Ready, s.Fresh, s.Members, s.Epoch, s.Ranges)
+			lines.line("%s", s.raw)
 		}
 	}
-	if err := errors.Join(lines.err, columns.Flush()); err != nil {
+	if err := errors.Join(lines.err, table.write()); err != nil {
 		return errors.Wrap(err, "writing the status")
 	}
 	if failed > 0 {
@@ -105,6 +114,63 @@
 	return nil
 }
 
+// statusTable prints VMs on the log and VMs on the platform's store, whose status has other
+// fields, as one table each.
+type statusTable struct {
+	out io.Writer
+	// logRows, storeRows and failures are in the order of the addresses.
+	logRows   []string
+	storeRows []string
+	failures  []string
+}
+
+// add adds the row of the VM at the address; err is why there is no status.
+func (t *statusTable) add(address string, s *vmStatus, err error) {
+	switch {
+	case err != nil:
+		t.failures = append(t.failures, fmt.Sprintf("%s\t%v", address, err))
+	case s.Targets == nil:
+		t.logRows = append(t.logRows, fmt.Sprintf("%s\t%s\t%d\t%d\t%v\t%v\t%d\t%d\t%d",
+			address, s.ID, s.Version, s.Next, s.Ready, s.Fresh, s.Members, s.Epoch, s.Ranges))
+	default:
+		t.storeRows = append(t.storeRows, fmt.Sprintf("%s\t%s\t%d\t%v\t%d\t%d\t%d\t%s",
+			address, s.ID, s.Version, s.Ready, s.Heard, s.Known, *s.Targets, s.evacuation()))
+	}
+}
+
+// write prints the tables that have rows.
+func (t *statusTable) write() error {
+	return errors.Join(
+		t.writeRows("ADDRESS\tVM\tVERSION\tNEXT\tREADY\tFRESH\tMEMBERS\tEPOCH\tRANGES", t.logRows),
+		t.writeRows("ADDRESS\tVM\tVERSION\tREADY\tHEARD\tKNOWN\tTARGETS\tEVACUATED", t.storeRows),
+		t.writeRows("ADDRESS\tERROR", t.failures))
+}
+
+func (t *statusTable) writeRows(header string, rows []string) error {
+	if len(rows) == 0 {
+		return nil
+	}
+	columns := tabwriter.NewWriter(t.out, 0, 0, columnGap, ' ', 0)
+	lines := &printer{
+		out: columns,
+	}
+	lines.line("%s", header)
+	for _, r := range rows {
+		lines.line("%s", r)
+	}
+
+	return errors.Join(lines.err, columns.Flush())
+}
+
+// evacuation returns the evacuated data centres and the number of their targets, or "-".
+func (s *vmStatus) evacuation() string {
+	if len(s.Evacuated) == 0 {
+		return "-"
+	}
+
+	return fmt.Sprintf("%s (%d targets)", strings.Join(s.Evacuated, ","), s.EvacuatedTargets)
+}
+
 // fetchStatus reads the status of the VM from its listener for operators. The error is a
 // *StatusError if the VM answers with an HTTP status other than 200.
 func fetchStatus(ctx context.Context, address string) (*vmStatus, error) {
