Forward records to every VM where the store answers few

Cause: each of the four VMs that wait for changes forwards them to a quarter of the others. Where the store answered fewer than four VMs, a VM that it did not answer got no record of the remaining quarters, and so did not learn of an evacuation, a withdrawn key or a removed target.

Change: the first VM that waits also covers the quarters without a VM.

Result: TestForwardToCutOffVMs fails without the change and passes with it; go test -race ./internal/gossiper ./internal/subscriber passes.

--- a/internal/gossiper/topics.go
+++ b/internal/gossiper/topics.go
@@ -54,8 +54,12 @@
 	}
 	positions := g.positions()
 	relays := splitRelays(uint32(i), from, to, records) //nolint:gosec // There are only a few topics.
+	now := g.spec.Clock.Now()
+	var groups [][]string
 	g.mu.Lock()
-	groups := g.relayGroups(g.spec.Clock.Now(), partition)
+	for _, p := range g.coveredPartitions(now, uint32(i), partition) { //nolint:gosec // There are only a few topics.
+		groups = append(groups, g.relayGroups(now, p)...)
+	}
 	g.mu.Unlock()
 	var direct []string
 	for _, group := range groups {
@@ -68,6 +72,28 @@
 	g.sendRelays(relays, positions, nil, direct)
 }
 
+// coveredPartitions returns the partitions that this VM sends to, given its own. Where the
+// store answers fewer VMs than there are partitions, the one with the first partition also
+// covers those that have no VM: the VMs in them may have no other way to learn of a change.
+// The lock must be held.
+func (g *Gossiper) coveredPartitions(now timer.Instant, topic uint32, own subscriber.Partition) []subscriber.Partition {
+	list := []subscriber.Partition{own}
+	if own.Number() > 0 {
+		return list
+	}
+	answered := 1 // This VM.
+	for _, p := range g.peers.byAddress {
+		if g.peers.isHeard(now, p) && !p.left && !p.storeLost[topic] {
+			answered++
+		}
+	}
+	for number := answered; number < own.Count(); number++ {
+		list = append(list, subscriber.NewPartition(number, own.Count()))
+	}
+
+	return list
+}
+
 // sendRelays sends the relays, and the positions with the last of them, to VMs, which
 // pass the records on to those in passTo.
 func (g *Gossiper) sendRelays(relays []*Relay, positions []Position, passTo, to []string) {
--- a/internal/subscriber/partition.go
+++ b/internal/subscriber/partition.go
@@ -14,5 +14,11 @@
 	}
 }
 
+// Number returns the number of the partition, from 0 to Count-1.
+func (p Partition) Number() int { return p.number }
+
+// Count returns the number of partitions.
+func (p Partition) Count() int { return p.count }
+
 // Contains reports whether a VM with the hash is in the partition.
 func (p Partition) Contains(hash uint32) bool { return int(hash)%p.count == p.number }
