Decode the warm-up rate of a service

A service of the configuration may declare warmupPerS, the requests per second that one of its cold targets can handle. manifester.Service holds it as WarmUpRate, 0 where none is declared; a negative rate is a fault, as a negative limit is. Nothing uses it yet.

--- a/pkg/manifester/change.go
+++ b/pkg/manifester/change.go
@@ -158,7 +158,10 @@
 }
 
 func sameService(a, b *Service) bool {
-	if a.listed != b.listed || a.connections != b.connections || a.class != b.class || a.floor != b.floor || len(a.targets) != len(b.targets) {
+	if a.listed != b.listed || a.connections != b.connections || a.warmUpRate != b.warmUpRate {
+		return false
+	}
+	if a.class != b.class || a.floor != b.floor || len(a.targets) != len(b.targets) {
 		return false
 	}
 	for i := range a.targets {
--- a/pkg/manifester/manifester.go
+++ b/pkg/manifester/manifester.go
@@ -98,6 +98,9 @@
 	// connections bounds the open connections of the whole fleet to each target
 	// of a listed service, where it is at least 1.
 	connections int
+	// warmUpRate is the number of requests per second that a cold target can handle; 0
+	// where none is declared.
+	warmUpRate float64
 }
 
 // NewService returns a service.
@@ -122,6 +125,19 @@
 	}
 }
 
+// WithWarmUpRate returns a copy of the service with the number of requests per second, from
+// the whole fleet, that one of its cold targets can handle; 0 for no bound.
+func (s *Service) WithWarmUpRate(perSecond float64) *Service {
+	c := *s
+	c.warmUpRate = perSecond
+
+	return &c
+}
+
+// WarmUpRate returns the number of requests per second that a cold target can handle, or 0
+// where none is declared.
+func (s *Service) WarmUpRate() float64 { return s.warmUpRate }
+
 // Name returns the name, unique among services.
 func (s *Service) Name() string { return s.name }
 
--- a/pkg/manifester/validate.go
+++ b/pkg/manifester/validate.go
@@ -105,6 +105,9 @@
 		if s.connections < 1 {
 			v.add(path+".connections", fmt.Sprintf("connections is %d", s.connections), "1 or more")
 		}
+		if s.warmUpRate < 0 {
+			v.add(path+".warmupPerS", fmt.Sprintf("warmupPerS is %v", s.warmUpRate), "a number above 0, or 0 for no bound")
+		}
 
 		return
 	}
