Tell whether the VM list holds this VM's own entry

A VM that starts together with others reads a list that may be empty, and would count itself as the whole fleet. Once it has read its own entry, it knows all VMs that are listed before it, and those listed later read its entry and report to it. Gossiper.ListRead tells this.

TestListRead; go test ./internal/gossiper passes.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -157,6 +157,8 @@
 	openRequests atomic.Pointer[map[estimator.Key]int]
 	// vmCounts is as of the last round; it is replaced and never changed.
 	vmCounts atomic.Pointer[vmCounts]
+	// listRead is set once this VM's own entry of the VM list has been read.
+	listRead atomic.Bool
 	// skipped counts the datagrams that were not applied. lastSkipLogged is when the last
 	// of them was logged; only the goroutine that receives uses it.
 	skipped        metrics.Counter
@@ -262,6 +264,10 @@
 	return c.heard, c.known
 }
 
+// ListRead reports whether the VM list has been read up to this VM's own entry. All VMs that
+// are listed before it are then known, and those listed later will read its entry.
+func (g *Gossiper) ListRead() bool { return g.listRead.Load() }
+
 // OpenRequests returns the number of open requests of the other VMs at the target,
 // according to their last reports.
 func (g *Gossiper) OpenRequests(k estimator.Key) int { return (*g.openRequests.Load())[k] }
@@ -280,6 +286,9 @@
 	defer g.requestEstimates()
 	defer g.mu.Unlock()
 	for _, r := range records {
+		if r.Key() == g.spec.Self && !r.Removed() {
+			g.listRead.Store(true)
+		}
 		if g.isPeerAddress(r.Key()) && !r.Removed() {
 			g.peers.add(now, r.Key()).dataCentre = dataCentreOf(string(r.Value()))
 		}
