Send requests to cold targets at the declared rate

A cold target that gets far more requests than it can handle crashes. The pacer gives each VM a bucket for each cold target of a service with a warm-up rate; the placer does not consider a cold target without a token, and refuses with the time until the next token where only such targets are left. Targets that are warm cost one comparison, as before.

--- a/internal/assembler/store_chain.go
+++ b/internal/assembler/store_chain.go
@@ -43,6 +43,7 @@
 		},
 		v.gossiper,
 		v.placer,
+		v.pacer,
 		&periodic{
 			name:   "forgetter",
 			period: removalPeriod,
--- a/internal/assembler/store_gossip.go
+++ b/internal/assembler/store_gossip.go
@@ -37,6 +37,7 @@
 		Logger:     v.logger,
 	})
 	broadcaster.delegate = v.gossiper
+	v.pacer = v.newPacer()
 	v.placer = placer.New(placer.Spec{
 		DataCentre:  v.settings.DataCentre(),
 		Targets:     v.registrar,
@@ -45,6 +46,7 @@
 		Reporter:    v.gossiper,
 		Leaving:     v.registrar,
 		RemoteLoad:  v.gossiper,
+		Pacer:       v.pacer,
 		Clock:       v.timers,
 		Degraded:    v.watcher.Degraded,
 		KeepOverdue: v.stopping,
--- a/internal/assembler/store_operators.go
+++ b/internal/assembler/store_operators.go
@@ -20,6 +20,7 @@
 	}
 	v.gossiper.Each(v.meter.RegisterCounter)
 	v.placer.Each(v.meter.RegisterCounter)
+	v.pacer.Each(v.meter.RegisterCounter)
 	v.retries.Each(v.meter.RegisterCounter)
 	v.store.Each(v.meter.RegisterCounter)
 }
--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -15,6 +15,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/gossiper"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/pacer"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
 	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
 	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
@@ -39,6 +40,7 @@
 	tallier   *tallier.Tallier
 	watcher   *watcher.Watcher
 	placer    *placer.Placer
+	pacer     *pacer.Pacer
 	retries   *retrier.SharedRetrier
 	gossiper  *gossiper.Gossiper
 	// quarantine refuses requests that crash their targets.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -78,7 +78,9 @@
 	Reporter   outcomeReporter
 	Leaving    leavingMarker
 	RemoteLoad remoteLoad
-	Clock      clock
+	// Pacer is nil where cold targets are not paced.
+	Pacer coldPacer
+	Clock clock
 	// Degraded reports whether too many of the service's requests are not served.
 	Degraded func(now timer.Instant, service string) bool
 	// KeepOverdue reports whether overdue attempts must not be abandoned.
@@ -184,7 +186,8 @@
 	defer p.mu.Unlock()
 	l := latencyOf(p.routeLatencies, c.Route)
 	l.latencyGoal = cmp.Or(c.LatencyGoal, l.latencyGoal)
-	list := p.candidates(now, c)
+	list, held := p.candidates(now, c)
+	p.holdAll(now, c.Service, held)
 	i := choose(list, profile{
 		latency:        l.expected(),
 		latencyGoal:    l.latencyGoal,
@@ -209,20 +212,27 @@
 	}
 	p.open[a] = struct{}{}
 	p.openPerTarget[a.member.Key()]++
+	p.takeToken(now, c.Service, a.member)
 
 	return a, true
 }
 
 // candidates returns the targets that may be chosen: those that are listed, have not
-// been tried, were not without capacity lately and did not ask for a pause.
-func (p *Placer) candidates(now timer.Instant, c AttemptSpec) []candidate {
+// been tried, were not without capacity lately and did not ask for a pause. It also returns
+// the cold targets that it left out.
+func (p *Placer) candidates(now timer.Instant, c AttemptSpec) (list []candidate, held []*registrar.Member) {
 	members := p.spec.Targets.Members(c.Service)
-	list := make([]candidate, 0, len(members))
+	list = make([]candidate, 0, len(members))
 	for _, m := range members {
 		t := m.Target()
 		if !m.Listed(now) || slices.Contains(c.Tried, t.Name()) || now.Before(p.pauseEnd(m.Key())) {
 			continue
 		}
+		if p.mustHold(now, c.Service, m) {
+			held = append(held, m)
+
+			continue
+		}
 		slots := float64(t.Slots())
 		if m.WarmingUp(now) {
 			slots *= warmUpFactor
@@ -241,7 +251,7 @@
 		})
 	}
 
-	return list
+	return list, held
 }
 
 // pauseEnd returns the instant until which the target gets no attempts; the lock must be
@@ -257,7 +267,7 @@
 	defer p.mu.Unlock()
 	first := timer.Instant(0)
 	for _, m := range p.spec.Targets.Members(service) {
-		end := p.pauseEnd(m.Key())
+		end := p.firstUse(now, service, m)
 		if !m.Listed(now) {
 			continue
 		}
