--- a/internal/assembler/store_gossip.go
+++ b/internal/assembler/store_gossip.go
@@ -40,6 +40,7 @@
 		MaxRelayedRecord: v.settings.MaxRelayedRecord(),
 	})
 	broadcaster.delegate = v.gossiper
+	v.pacer = v.newPacer()
 	spec := placer.Spec{
 		DataCentre:  v.settings.DataCentre(),
 		Targets:     v.registrar,
@@ -48,6 +49,7 @@
 		Reporter:    v.gossiper,
 		Leaving:     v.registrar,
 		RemoteLoad:  v.gossiper,
+		Pacer:       v.pacer,
 		Clock:       v.timers,
 		Degraded:    v.watcher.Degraded,
 		KeepOverdue: v.stopping,
--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -17,6 +17,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/gossiper"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/pacer"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
 	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
 	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
@@ -44,6 +45,7 @@
 	placer    *placer.Placer
 	// assigner is nil if this VM prefers no targets.
 	assigner *assigner.Assigner
+	pacer    *pacer.Pacer
 	retries  *retrier.SharedRetrier
 	gossiper *gossiper.Gossiper
 	// quarantine refuses requests that crash their targets.
