Let the scheduler order requests by rank instead of class

Cause: on the platform's store, requests of one service differ in importance by team and route, while the scheduler knew one class for each service.

Change: a ticket has a rank of two numbers. Levels of ranks replace the fixed classes, are created on demand and removed with their last request. On the log path the rank is the class of the service.

--- a/internal/queuer/service_queue.go
+++ b/internal/queuer/service_queue.go
@@ -18,15 +18,20 @@
 	waitingFactor = 32
 )
 
+// flow identifies the requests of one rank and team.
+type flow struct {
+	rank Rank
+	team string
+}
+
 // serviceQueue is the queue of one service.
 type serviceQueue struct {
-	class *class
 	// bound is the maximum number of running requests; at least 1.
 	bound   int
 	running int
-	// flows maps each team to its waiting tickets in the order of arrival; no
-	// flow is empty.
-	flows   map[string][]*Ticket
+	// flows holds the waiting tickets of each flow in the order of arrival; no flow is
+	// empty.
+	flows   map[flow][]*Ticket
 	waiting int
 	// averageDuration is the moving average of the running time; 0 before the
 	// first sample.
@@ -34,21 +39,21 @@
 }
 
 func (q *serviceQueue) push(t *Ticket) {
-	q.flows[t.team] = append(q.flows[t.team], t)
+	q.flows[t.flow()] = append(q.flows[t.flow()], t)
 	q.waiting++
 }
 
 // remove takes a ticket out of the queue; false if it is not in it.
 func (q *serviceQueue) remove(t *Ticket) bool {
-	flow := q.flows[t.team]
-	for i, k := range flow {
+	tickets := q.flows[t.flow()]
+	for i, k := range tickets {
 		if k != t {
 			continue
 		}
-		if len(flow) == 1 {
-			delete(q.flows, t.team)
+		if len(tickets) == 1 {
+			delete(q.flows, t.flow())
 		} else {
-			q.flows[t.team] = append(flow[:i:i], flow[i+1:]...)
+			q.flows[t.flow()] = append(tickets[:i:i], tickets[i+1:]...)
 		}
 		q.waiting--
 
@@ -58,40 +63,26 @@
 	return false
 }
 
-// next returns the ticket to start first, or nil if none waits.
-func (q *serviceQueue) next() *Ticket {
-	var best *Ticket
-	for _, flow := range q.flows {
-		if best == nil || q.before(flow[0], best) {
-			best = flow[0]
-		}
-	}
-
-	return best
-}
-
-func (q *serviceQueue) before(a, b *Ticket) bool {
-	if x, y := q.class.startTag(a.team), q.class.startTag(b.team); x != y {
-		return x < y
-	}
-
-	return a.number < b.number
-}
-
-// dropCandidate returns the newest ticket of the team with the most waiting
-// requests relative to its weight. The queue must not be empty.
+// dropCandidate returns the newest ticket of the team with the most waiting requests
+// relative to its weight, among those of the least important rank. The queue must not be
+// empty.
 func (q *serviceQueue) dropCandidate() *Ticket {
 	var longest []*Ticket
-	for _, flow := range q.flows {
-		if longest == nil || q.longer(flow, longest) {
-			longest = flow
+	for _, tickets := range q.flows {
+		if longest == nil || dropsBefore(tickets, longest) {
+			longest = tickets
 		}
 	}
 
 	return longest[len(longest)-1]
 }
 
-func (q *serviceQueue) longer(a, b []*Ticket) bool {
+// dropsBefore reports whether a ticket of the first flow is dropped before one of the
+// second.
+func dropsBefore(a, b []*Ticket) bool {
+	if c := a[0].rank.compare(b[0].rank); c != 0 {
+		return c > 0
+	}
 	x, y := float64(len(a))/a[0].weight, float64(len(b))/b[0].weight
 	if x != y {
 		return x > y
@@ -100,22 +91,37 @@
 	return a[0].team > b[0].team
 }
 
-// estimateWait returns the expected wait of a new request of the ticket's team:
-// the time that the team's share of the service takes to serve its waiting
-// requests and the new one.
-func (q *serviceQueue) estimateWait(t *Ticket) time.Duration {
+// estimateWait returns the expected wait of a new request: the time that it takes to
+// serve the waiting requests of more important ranks, and then, with the share of the
+// ticket's team, those of the team and the new one. While more important ones wait, it is
+// not below what the last starts of the ticket's rank suggest, as more of them may
+// arrive, and not above what the reserved share takes.
+func (q *serviceQueue) estimateWait(t *Ticket, interval time.Duration) time.Duration {
 	if q.running < q.bound && q.waiting == 0 {
 		return 0
 	}
-	weights := 0.0
-	for team, flow := range q.flows {
-		if team != t.team {
-			weights += flow[0].weight
+	weights, before := 0.0, 0
+	for f, tickets := range q.flows {
+		switch c := f.rank.compare(t.rank); {
+		case c < 0:
+			before += len(tickets)
+		case c == 0 && f.team != t.team:
+			weights += tickets[0].weight
 		}
 	}
-	ahead := float64(len(q.flows[t.team]) + 1)
+	ahead := float64(len(q.flows[t.flow()])+1) * (1 + weights/t.weight)
+	perStart := float64(q.averageDuration) / float64(q.bound)
+	if before == 0 {
+		return time.Duration(ahead * perStart)
+	}
+	wait := max((ahead+float64(before))*perStart, ahead*float64(interval))
+
+	return time.Duration(min(wait, ahead*perStart/reservedShare))
+}
 
-	return time.Duration(ahead * (1 + weights/t.weight) * float64(q.averageDuration) / float64(q.bound))
+// expectedDuration returns the running time to expect of the request.
+func (q *serviceQueue) expectedDuration(t *Ticket) time.Duration {
+	return min(q.averageDuration, t.maxDuration)
 }
 
 // missesDeadline reports whether a request that starts after the wait misses its
@@ -123,7 +129,7 @@
 // ignored: without new samples, a wrong average would never be corrected.
 func (q *serviceQueue) missesDeadline(now timer.Instant, t *Ticket, wait time.Duration) bool {
 	if q.running > 0 {
-		wait += q.averageDuration
+		wait += q.expectedDuration(t)
 	}
 
 	return !now.Add(wait).Before(t.deadline)
--- a/internal/queuer/ticket.go
+++ b/internal/queuer/ticket.go
@@ -1,6 +1,7 @@
 package queuer
 
 import (
+	"math"
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -43,11 +44,13 @@
 // Ticket is one request in the queue.
 type Ticket struct {
 	service string
-	class   manifester.Class
+	rank    Rank
 	team    string
 	// weight is above 0.
 	weight   float64
 	deadline timer.Instant
+	// maxDuration bounds the running time that is expected of the request.
+	maxDuration time.Duration
 	// started is the instant at which the request was started; 0 before.
 	started timer.Instant
 	// number orders tickets by arrival.
@@ -56,15 +59,16 @@
 	verdict chan Verdict
 }
 
-// NewTicket returns the ticket of a request. Requests without a team are
-// scheduled together, as one team of weight 1.
+// NewTicket returns the ticket of a request, with the rank of the service's class.
+// Requests without a team are scheduled together, as one team of weight 1.
 func NewTicket(s *manifester.Service, t *manifester.Team, deadline timer.Instant) *Ticket {
 	k := &Ticket{
-		service:  s.Name(),
-		class:    s.Class(),
-		weight:   1,
-		deadline: deadline,
-		verdict:  make(chan Verdict, 1),
+		service:     s.Name(),
+		rank:        RankOfClass(s.Class()),
+		weight:      1,
+		deadline:    deadline,
+		maxDuration: math.MaxInt64,
+		verdict:     make(chan Verdict, 1),
 	}
 	if t != nil {
 		k.team = t.Name()
@@ -74,5 +78,19 @@
 	return k
 }
 
+// WithRank sets the rank of a ticket that has not entered a queue, and returns the ticket.
+func (t *Ticket) WithRank(r Rank) *Ticket {
+	t.rank = r
+
+	return t
+}
+
 // Verdict returns the channel on which the verdict arrives.
 func (t *Ticket) Verdict() <-chan Verdict { return t.verdict }
+
+func (t *Ticket) flow() flow {
+	return flow{
+		rank: t.rank,
+		team: t.team,
+	}
+}
