Let requests wait at the VM by rank on the platform's store

Cause: on the store a request went to a target at once, even if all slots were taken, and waited or was rejected there whatever the priorities of its team and route.

Change: where the setting queue is on, the filter queue stands between admit and repeat. Each service has a scheduler whose ranks are the priorities of team and route; a request for which there is room always starts. The controller rooms computes every 250 ms how many requests a VM may have open for each service in use, and publishes it behind an atomic pointer. VMs report their waiting requests as a load under a key of the service, without a new format. Refusals carry a Retry-After of a random part of the expected wait. The wait is logged from 50 ms on. The log path has the same decisions as before.

Tests changed: Enter takes a ticket and capacities take the name of a service, so the calls in scheduler_test.go and admit_test.go changed; what they check did not.

Result: go test ./internal/placer ./internal/queuer ./internal/filterer ./internal/decoder ./internal/assembler passes, golden files of the log path unchanged.

--- a/internal/assembler/chain.go
+++ b/internal/assembler/chain.go
@@ -32,7 +32,7 @@
 		filterer.NewQuarantine(v.quarantine),
 		filterer.NewClaim(v.claims),
 		filterer.NewAdmit(v.borrower, v.tracer),
-		filterer.NewQueue(newQueue(v)),
+		filterer.NewQueue(newQueue(v), filterer.ByClass{}, v.timers),
 		filterer.NewRetry(retrier.New(), v.timers),
 		fresh,
 		filterer.NewCrashWatch(v.quarantine, v.transport),
--- a/internal/assembler/store_chain.go
+++ b/internal/assembler/store_chain.go
@@ -53,12 +53,15 @@
 		operators,
 		v.stopper,
 	}
+	if v.rooms != nil {
+		v.controllers = append(v.controllers, v.rooms)
+	}
 }
 
 // chain returns the filter chain; the order of the filters is the order of their
 // decisions.
 func (v *StoreVM) chain() *handler.Chain {
-	return handler.NewChain(
+	filters := []handler.Filter{
 		filterer.NewTraceRequest(v.tracer),
 		filterer.NewJournal(v.logger, v.dialect.RequestID(), v.timers),
 		filterer.NewCount(v.meter, v.timers),
@@ -71,12 +74,19 @@
 		filterer.NewDeadline(v.dialect.Timeout()),
 		filterer.NewQuarantine(v.quarantine),
 		filterer.NewAdmit(&sharedRates{tallier: v.tallier, timers: v.timers}, v.tracer),
+	}
+	if v.queue != nil {
+		filters = append(filters, filterer.NewQueue(v.queue, filterer.NewByPriority(v.timers), v.timers))
+	}
+
+	return handler.NewChain(append(
+		filters,
 		filterer.NewRepeat(v.retries, v.timers),
 		filterer.NewCrashWatch(v.quarantine, v.transport),
 		filterer.NewPlace(v.placer, v.meter, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
 		filterer.NewForward(v.transport),
-	)
+	)...)
 }
 
 // minConnections is the number of connections to a target that a VM may always hold,
--- a/internal/assembler/store_gossip.go
+++ b/internal/assembler/store_gossip.go
@@ -51,9 +51,10 @@
 	})
 }
 
-// loads returns the number of open requests of this VM at each target.
+// loads returns the number of open requests of this VM at each target, and of those that
+// wait for each service.
 func (v *StoreVM) loads() []gossiper.Load {
-	var list []gossiper.Load
+	list := v.waitingLoads()
 	v.placer.OpenAttempts(func(k estimator.Key, open int) {
 		list = append(list, gossiper.NewLoad(k, uint32(open))) //nolint:gosec // A few hundred at most.
 	})
--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -17,6 +17,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
 	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
+	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
 	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
@@ -39,8 +40,11 @@
 	tallier   *tallier.Tallier
 	watcher   *watcher.Watcher
 	placer    *placer.Placer
-	retries   *retrier.SharedRetrier
-	gossiper  *gossiper.Gossiper
+	// rooms and queue are nil where the setting queue is off.
+	rooms    *placer.Rooms
+	queue    *queuer.Queuer
+	retries  *retrier.SharedRetrier
+	gossiper *gossiper.Gossiper
 	// quarantine refuses requests that crash their targets.
 	quarantine *quarantiner.Quarantiner
 }
@@ -77,6 +81,7 @@
 		return nil, errors.Wrapf(err, "listening on %s; is another process using it?", s.Peers())
 	}
 	v.addGossip(reports)
+	v.addQueue()
 	v.transport = forwarder.NewTransport(v.timers, v.dialect, v.bodies, v.connections)
 	callers, err := bind(s.Callers())
 	if err != nil {
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -47,6 +47,8 @@
 	readyPath string
 	// retries is the platform's allowance of retries for each service.
 	retries retrier.Allowance
+	// queue is set where requests wait for room of their service.
+	queue bool
 	// retention is the least time that the log keeps a record; above 0.
 	retention time.Duration
 	// maxBody is the largest size of a request's body in bytes.
@@ -118,6 +120,7 @@
 	Store      string
 	ReadyPath  string
 	Retries    retrier.Allowance
+	Queue      bool
 	Metrics    string
 	// Retention is optional; 0 means DefaultRetention.
 	Retention time.Duration
@@ -146,6 +149,7 @@
 		store:      s.Store,
 		readyPath:  s.ReadyPath,
 		retries:    s.Retries,
+		queue:      s.Queue,
 		metrics:    s.Metrics,
 		retention:  cmp.Or(s.Retention, DefaultRetention),
 		maxBody:    s.MaxBody,
@@ -201,6 +205,10 @@
 // platform's store apply it.
 func (s *Settings) Retries() retrier.Allowance { return s.retries }
 
+// Queue reports whether requests wait on the VM for room of their service. Only VMs on
+// the platform's store apply it.
+func (s *Settings) Queue() bool { return s.queue }
+
 // Retention returns the least time that the log keeps a record.
 func (s *Settings) Retention() time.Duration { return s.retention }
 
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -70,6 +70,9 @@
 	r.object("retries", func(o *reader) {
 		spec.Retries = readAllowance(o)
 	})
+	r.object("queue", func(o *reader) {
+		spec.Queue = o.boolean("enabled")
+	})
 	r.object("traces", func(o *reader) {
 		spec.Tracing = readTracing(o)
 	})
--- a/internal/filterer/admit_test.go
+++ b/internal/filterer/admit_test.go
@@ -28,8 +28,8 @@
 // singleSlot is a capacity of one request at a time.
 type singleSlot struct{}
 
-func (singleSlot) Service(*manifester.Service) int { return 1 }
-func (singleSlot) Total() int                      { return 1 }
+func (singleSlot) Service(string) int { return 1 }
+func (singleSlot) Total() int         { return 1 }
 
 type okHandler struct{}
 
@@ -81,9 +81,10 @@
 	}
 	clock := timer.NewManual(0)
 	q := queuer.New(clock, singleSlot{})
-	f := filterer.NewQueue(q)
+	f := filterer.NewQueue(q, filterer.ByClass{}, clock)
 	fmt.Fprintf(&out, "queue, free: %s\n", describe(f.Handle(context.Background(), exchange(team, time.Second), okHandler{})))
-	ticket, _ := q.Enter(context.Background(), exchange(team, time.Minute).Service(), team, timer.Instant(time.Minute))
+	ticket := queuer.NewTicket(exchange(team, time.Minute).Service(), team, timer.Instant(time.Minute))
+	q.Enter(context.Background(), ticket)
 	canceled, cancel := context.WithCancel(context.Background())
 	cancel()
 	fmt.Fprintf(&out, "queue, caller gone: %s\n", describe(f.Handle(canceled, exchange(team, time.Minute), okHandler{})))
--- a/internal/filterer/journal.go
+++ b/internal/filterer/journal.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,6 +18,9 @@
 // is logged.
 const sampleEvery = 16
 
+// longWait is the wait in the queue from which on it is logged.
+const longWait = 50 * time.Millisecond
+
 type eventLog interface {
 	Log(e logger.Event, attributes ...logger.Attribute)
 }
@@ -99,6 +103,9 @@
 	if x.Deadline() != 0 {
 		list = append(list, logger.Millis("left", x.Deadline().Sub(now)))
 	}
+	if x.Waited() >= longWait {
+		list = append(list, logger.Millis("waited", x.Waited()))
+	}
 	if len(x.History()) > 0 {
 		list = append(list, logger.Text("attempts", formatHistory(x.History())))
 	}
--- a/internal/filterer/queue.go
+++ b/internal/filterer/queue.go
@@ -2,30 +2,42 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
-	"github.com/lagoonkeel/lagoonkeel/internal/timer"
-	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
 type queue interface {
 	// Enter waits until the request may proceed or is refused. Leave must be
 	// called with the ticket of every request that was started.
-	Enter(ctx context.Context, s *manifester.Service, team *manifester.Team, deadline timer.Instant) (*queuer.Ticket, queuer.Verdict)
+	Enter(ctx context.Context, t *queuer.Ticket) queuer.Verdict
 	Leave(t *queuer.Ticket)
 }
 
+// queuePolicy decides what differs between the queues of the two chains.
+type queuePolicy interface {
+	// Rank returns the rank of the request.
+	Rank(x *handler.Exchange) queuer.Rank
+	// RetryAfter returns the Retry-After of a request that was refused, by its expected
+	// wait.
+	RetryAfter(x *handler.Exchange, wait time.Duration) time.Duration
+}
+
 // Queue holds requests back until there is capacity for them, starts them in a
 // fair order and refuses those that would miss their deadline in the queue.
 type Queue struct {
-	queue queue
+	queue  queue
+	policy queuePolicy
+	clock  clock
 }
 
 // NewQueue returns the filter.
-func NewQueue(q queue) *Queue {
+func NewQueue(q queue, p queuePolicy, c clock) *Queue {
 	return &Queue{
-		queue: q,
+		queue:  q,
+		policy: p,
+		clock:  c,
 	}
 }
 
@@ -34,9 +46,12 @@
 
 // Handle waits until the request may proceed, and refuses it otherwise.
 func (q *Queue) Handle(ctx context.Context, x *handler.Exchange, next handler.Handler) error {
-	ticket, verdict := q.queue.Enter(ctx, x.Service(), x.Team(), x.Deadline())
+	ticket := queuer.NewTicket(x.Service(), x.Team(), x.Deadline()).WithRank(q.policy.Rank(x))
+	entered := q.clock.Now()
+	verdict := q.queue.Enter(ctx, ticket)
+	x.SetWaited(q.clock.Now().Sub(entered))
 	if !verdict.Started() {
-		return handler.NewRefusal(handler.CodeOverload, string(verdict.Reason())).WithRetryAfter(verdict.RetryAfter())
+		return handler.NewRefusal(handler.CodeOverload, string(verdict.Reason())).WithRetryAfter(q.policy.RetryAfter(x, verdict.RetryAfter()))
 	}
 	defer q.queue.Leave(ticket)
 
--- a/internal/handler/exchange.go
+++ b/internal/handler/exchange.go
@@ -42,6 +42,8 @@
 	// heldBytes is the memory reserved for the bodies of the exchange, which the front
 	// end releases once the response was written.
 	heldBytes int64
+	// waited is how long the request waited in the queue.
+	waited time.Duration
 	// firstByteTimeout bounds the wait for the first byte of the next attempt's
 	// response; 0 if only the deadline bounds it.
 	firstByteTimeout time.Duration
@@ -179,6 +181,12 @@
 // Held returns the bytes reserved for the bodies of the exchange.
 func (x *Exchange) Held() int64 { return x.heldBytes }
 
+// Waited returns how long the request waited in the queue.
+func (x *Exchange) Waited() time.Duration { return x.waited }
+
+// SetWaited sets how long the request waited in the queue.
+func (x *Exchange) SetWaited(d time.Duration) { x.waited = d }
+
 // FirstByteTimeout returns the timeout for the first byte of the next attempt's
 // response, or 0 if only the deadline bounds the wait.
 func (x *Exchange) FirstByteTimeout() time.Duration { return x.firstByteTimeout }
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -142,11 +141,11 @@
 // included.
 func (c candidate) queued() float64 { return math.Max(0, c.open+1-c.slots) }
 
-// choose returns the index of a target, chosen at random in proportion to the weights;
-// -1 without targets.
-func choose(list []candidate, p profile) int {
+// choose returns the index of a target, chosen by a random number from 0 up to 1 in
+// proportion to the weights; -1 without targets.
+func choose(list []candidate, random float64, p profile) int {
 	weights, total := weigh(list, p)
-	at := rand.Float64() * total //nolint:gosec // Spreads load; not used for secrets.
+	at := random * total
 	for i, w := range weights {
 		if at -= w; at < 0 {
 			return i
--- /dev/null
+++ b/internal/placer/fleet_test.go
@@ -0,0 +1,404 @@
+package placer_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/placer"
+	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
+	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
+	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+const (
+	service      = "fieldbook"
+	slots        = 6
+	targetQueue  = 4
+	maxAttempts  = 3
+	networkTime  = 10 * time.Millisecond
+	noticedWait  = 10 * time.Millisecond
+	simulatedFor = 6 * time.Second
+)
+
+// kind is a stream of requests of one rank.
+type kind struct {
+	name string
+	rank queuer.Rank
+	// rate is the number of requests per second, and burst the factor on it from second 2
+	// to second 4.
+	rate  float64
+	burst float64
+}
+
+// load describes one run of a simulated fleet.
+type load struct {
+	name    string
+	vms     int
+	targets int
+	// hot is the number of VMs that get all requests; 0 for all VMs.
+	hot      int
+	work     time.Duration
+	deadline time.Duration
+	kinds    []kind
+	// late delays reports, lost is the fraction of them that is lost, and sides the number
+	// of parts of the fleet that do not hear each other. No VM is heard before deafFor.
+	late    time.Duration
+	lost    float64
+	sides   int
+	deafFor time.Duration
+	// suspect is the fraction of the targets with a high risk, and leaves the fraction of
+	// the callers that leave 50 ms after they arrived.
+	suspect float64
+	leaves  float64
+}
+
+// result counts the requests of one kind by what became of them.
+type result struct {
+	offered, started, atOnce, later, left, rejected int
+	waits                                           []time.Duration
+}
+
+// event is a step of the simulation.
+type event struct {
+	at timer.Instant
+	do func()
+}
+
+type events []event
+
+func (h events) Len() int           { return len(h) }
+func (h events) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h events) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)        { *h = append(*h, x.(event)) } //nolint:forcetypeassert // It holds nothing else.
+func (h *events) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+
+	return last
+}
+
+// simTarget works on up to slots requests and queues up to targetQueue more.
+type simTarget struct {
+	busy   int
+	queued []func()
+}
+
+// simFleet is a discrete-event simulation of a fleet, with the decisions of the real code.
+type simFleet struct {
+	load    load
+	now     timer.Instant
+	random  *rand.Rand
+	events  events
+	members *registrar.Registrar
+	targets map[string]*simTarget
+	vms     []*simVM
+	results []result
+	risks   map[estimator.Key]float64
+	// sums holds the reported loads of each side.
+	sums []map[estimator.Key]int
+}
+
+func (f *simFleet) Now() timer.Instant                      { return f.now }
+func (f *simFleet) Every(time.Duration) *timer.Subscription { return nil }
+
+func (f *simFleet) after(d time.Duration, do func()) {
+	heap.Push(&f.events, event{at: f.now.Add(d), do: do})
+}
+
+// Risk and Assess make the first targets suspect.
+func (f *simFleet) Risk(_ timer.Instant, k estimator.Key) float64 {
+	return f.risks[k]
+}
+
+func (f *simFleet) Assess(now timer.Instant, k estimator.Key) (float64, time.Duration, bool) {
+	return f.Risk(now, k), 0, true
+}
+
+func (f *simFleet) Observe(timer.Instant, estimator.Key, estimator.Outcome) {}
+func (f *simFleet) ReportOutcome(estimator.Key, estimator.Outcome)          {}
+
+// simVM is one VM. Its reports reach the VMs of its side.
+type simVM struct {
+	fleet     *simFleet
+	side      int
+	placer    *placer.Placer
+	rooms     *placer.Rooms
+	scheduler *queuer.Scheduler
+	reported  map[estimator.Key]int
+	pending   []*simRequest
+}
+
+// simRequest is one request of a kind.
+type simRequest struct {
+	kind    int
+	arrived timer.Instant
+	ticket  *queuer.Ticket
+	tried   []string
+}
+
+func (v *simVM) OpenRequests(k estimator.Key) int { return v.fleet.sums[v.side][k] - v.reported[k] }
+
+func (v *simVM) VMCounts() (heard, known int) {
+	f := v.fleet
+	if f.now < timer.Instant(f.load.deafFor) {
+		return 1, f.load.vms
+	}
+
+	return f.load.vms / max(1, f.load.sides), f.load.vms
+}
+
+func (v *simVM) Demand(string) (running, waiting int) {
+	return v.scheduler.Running(), v.scheduler.Waiting()
+}
+
+func (v *simVM) Resize(service string, bound int) {
+	v.scheduler.Resize(v.fleet.now, service, bound)
+	v.collect()
+}
+
+func newSimFleet(l load) *simFleet {
+	f := &simFleet{
+		load:    l,
+		random:  rand.New(rand.NewPCG(20261206, uint64(l.vms))),
+		targets: map[string]*simTarget{},
+		risks:   map[estimator.Key]float64{},
+		results: make([]result, len(l.kinds)),
+		members: registrar.New(func(id string, _ []byte) (*registrar.Entry, error) {
+			return registrar.NewEntry(registrar.EntrySpec{
+				Target:  manifester.TargetSpec{Name: id, Address: "10.0.0.1:80", Slots: slots},
+				Service: service,
+			}), nil
+		}, logger.Discard()),
+	}
+	var records []subscriber.Record
+	for i := range l.targets {
+		id := fmt.Sprintf("t%02d", i)
+		f.targets[id] = &simTarget{}
+		records = append(records, subscriber.NewRecord(id, []byte("-"), subscriber.Offset(i+1)))
+	}
+	f.members.Replace(0, records)
+	for i, m := range f.members.Members(service) {
+		f.risks[m.Key()] = 0.01
+		if float64(i) < l.suspect*float64(l.targets) {
+			f.risks[m.Key()] = 0.9
+		}
+	}
+	for range max(1, l.sides) {
+		f.sums = append(f.sums, map[estimator.Key]int{})
+	}
+	for i := range l.vms {
+		f.vms = append(f.vms, f.newVM(i))
+	}
+	for i := range l.kinds {
+		f.arrivals(i)
+	}
+
+	return f
+}
+
+func (f *simFleet) newVM(i int) *simVM {
+	v := &simVM{
+		fleet:     f,
+		side:      i % max(1, f.load.sides),
+		scheduler: queuer.NewServiceScheduler(),
+		reported:  map[estimator.Key]int{},
+	}
+	v.placer = placer.New(placer.Spec{
+		Targets: f.members, Risks: f, Observer: f, Reporter: f, Leaving: f.members, RemoteLoad: v, Clock: f,
+		Degraded: func(timer.Instant, string) bool { return false },
+		Random:   f.random.Float64,
+	})
+	v.rooms = placer.NewRooms(placer.RoomSpec{Placer: v.placer, Fleet: v, Clock: f, Phase: f.random.Float64()})
+	v.rooms.SetQueue(v)
+	f.repeat(250*time.Millisecond, func() { v.rooms.Compute(f.now) })
+	f.repeat(time.Duration((f.load.vms+74)/75)*500*time.Millisecond, v.report)
+
+	return v
+}
+
+// repeat calls do at fixed intervals from a random instant on.
+func (f *simFleet) repeat(period time.Duration, do func()) {
+	var step func()
+	step = func() {
+		do()
+		f.after(period, step)
+	}
+	f.after(time.Duration(f.random.Float64()*float64(period)), step)
+}
+
+// report replaces the loads that the side knows of this VM, unless the report is lost.
+func (v *simVM) report() {
+	f := v.fleet
+	if f.random.Float64() < f.load.lost {
+		return
+	}
+	loads := map[estimator.Key]int{placer.WaitingKey(service): v.scheduler.Waiting()}
+	v.placer.OpenAttempts(func(k estimator.Key, open int) { loads[k] = open })
+	f.after(f.load.late, func() {
+		for k, n := range v.reported {
+			f.sums[v.side][k] -= n
+		}
+		for k, n := range loads {
+			f.sums[v.side][k] += n
+		}
+		v.reported = loads
+	})
+}
+
+// arrivals lets requests of a kind arrive at random instants.
+func (f *simFleet) arrivals(i int) {
+	k := f.load.kinds[i]
+	rate := k.rate
+	if at := time.Duration(f.now); k.burst > 0 && at >= 2*time.Second && at < 4*time.Second {
+		rate *= k.burst
+	}
+	f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		n := len(f.vms)
+		if f.load.hot > 0 {
+			n = f.load.hot
+		}
+		f.vms[f.random.IntN(n)].enter(i)
+		f.arrivals(i)
+	})
+}
+
+func (v *simVM) enter(i int) {
+	f := v.fleet
+	f.results[i].offered++
+	deadline := f.now.Add(f.load.deadline)
+	team := manifester.NewTeam(fmt.Sprintf("team-%d", f.random.IntN(4)), 1, 1, 1, nil)
+	r := &simRequest{
+		kind:    i,
+		arrived: f.now,
+		ticket:  queuer.NewTicket(manifester.NewService(service, "", 0, nil), team, deadline).WithRank(f.load.kinds[i].rank),
+	}
+	v.pending = append(v.pending, r)
+	v.scheduler.Enter(f.now, r.ticket, v.rooms.Capacity(service), math.MaxInt)
+	v.cancelAfter(v.scheduler.LatestStart(r.ticket).Sub(f.now), r, queuer.ReasonLate)
+	if f.random.Float64() < f.load.leaves {
+		v.cancelAfter(50*time.Millisecond, r, queuer.ReasonGone)
+	}
+	v.collect()
+}
+
+func (v *simVM) cancelAfter(d time.Duration, r *simRequest, reason queuer.Reason) {
+	v.fleet.after(d, func() {
+		v.scheduler.Cancel(r.ticket, reason)
+		v.collect()
+	})
+}
+
+// collect applies the verdicts that arrived.
+func (v *simVM) collect() {
+	pending := v.pending
+	v.pending = pending[:0]
+	for _, r := range pending {
+		select {
+		case d := <-r.ticket.Verdict():
+			v.settle(r, d)
+		default:
+			v.pending = append(v.pending, r)
+		}
+	}
+}
+
+func (v *simVM) settle(r *simRequest, d queuer.Verdict) {
+	f := v.fleet
+	s := &f.results[r.kind]
+	switch {
+	case d.Started():
+		s.started++
+		s.waits = append(s.waits, f.now.Sub(r.arrived))
+		f.after(0, func() { v.attempt(r) })
+	case d.Reason() == queuer.ReasonGone:
+		s.left++
+	case f.now == r.arrived:
+		s.atOnce++
+	default:
+		s.later++
+	}
+}
+
+func (v *simVM) attempt(r *simRequest) {
+	f := v.fleet
+	a, ok := v.placer.Begin(f.now, placer.AttemptSpec{Service: service, Route: "r", LatencyGoal: 4 * f.load.work, Tried: r.tried})
+	if !ok || len(r.tried) >= maxAttempts {
+		f.results[r.kind].rejected++
+		if ok {
+			v.placer.End(f.now, a, placer.Result{})
+		}
+		v.leave(r)
+
+		return
+	}
+	name := a.Member().Target().Name()
+	r.tried = append(r.tried, name)
+	t := f.targets[name]
+	run := func() {
+		f.after(time.Duration(f.random.ExpFloat64()*float64(f.load.work)), func() {
+			t.end()
+			f.after(networkTime, func() {
+				v.placer.End(f.now, a, placer.Result{Outcome: estimator.OutcomeServed})
+				v.leave(r)
+			})
+		})
+	}
+	switch {
+	case t.busy < slots:
+		t.busy++
+		run()
+	case len(t.queued) < targetQueue:
+		t.queued = append(t.queued, run)
+	default:
+		v.placer.End(f.now, a, placer.Result{Full: true})
+		f.after(networkTime, func() { v.attempt(r) })
+	}
+}
+
+// end frees a slot and starts the next queued request.
+func (t *simTarget) end() {
+	if len(t.queued) == 0 {
+		t.busy--
+
+		return
+	}
+	next := t.queued[0]
+	t.queued = t.queued[1:]
+	next()
+}
+
+func (v *simVM) leave(r *simRequest) {
+	v.scheduler.Leave(v.fleet.now, r.ticket)
+	v.collect()
+}
+
+// run simulates the load and returns what became of the requests of each kind.
+func (f *simFleet) run() string {
+	for f.events[0].at < timer.Instant(simulatedFor) {
+		e, _ := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
+	}
+	var out strings.Builder
+	for i, s := range f.results {
+		slices.Sort(s.waits)
+		noticed := len(s.waits) - len(slices.DeleteFunc(slices.Clone(s.waits), func(d time.Duration) bool { return d > noticedWait }))
+		part := func(n int) float64 { return 100 * float64(n) / float64(max(1, s.offered)) }
+		quantile := func(q int) time.Duration { return s.waits[len(s.waits)*q/100].Round(time.Millisecond) }
+		fmt.Fprintf(&out, "  %s: offered %d, started %.1f%%, refused at once %.1f%%, refused later %.1f%%, caller left %.1f%%, rejected by targets %.1f%%; "+
+			"waited over %v %.2f%%, median %v, p99 %v\n",
+			f.load.kinds[i].name, s.offered, part(s.started), part(s.atOnce), part(s.later), part(s.left), part(s.rejected),
+			noticedWait, part(noticed), quantile(50), quantile(99))
+	}
+
+	return out.String()
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -6,7 +6,7 @@
 import (
 	"cmp"
 	"context"
-	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -83,6 +83,9 @@
 	Degraded func(now timer.Instant, service string) bool
 	// KeepOverdue reports whether overdue attempts must not be abandoned.
 	KeepOverdue func() bool
+	// Random returns a number from 0 up to 1 by which a target is chosen; nil for
+	// unpredictable ones.
+	Random func() float64
 }
 
 // Attempt is one open attempt at a target.
@@ -134,6 +137,9 @@
 
 // New returns a placer without open attempts.
 func New(s Spec) *Placer {
+	if s.Random == nil {
+		s.Random = rand.Float64
+	}
 	outcomes := map[estimator.Outcome]metrics.Counter{}
 	for _, o := range estimator.Outcomes() {
 		outcomes[o] = metrics.NewCounter()
@@ -185,7 +191,7 @@
 	l := latencyOf(p.routeLatencies, c.Route)
 	l.latencyGoal = cmp.Or(c.LatencyGoal, l.latencyGoal)
 	list := p.candidates(now, c)
-	i := choose(list, profile{
+	i := choose(list, p.spec.Random(), profile{
 		latency:        l.expected(),
 		latencyGoal:    l.latencyGoal,
 		serviceLatency: cmp.Or(latencyOf(p.serviceLatencies, c.Service).expected(), l.expected()),
@@ -223,10 +229,6 @@
 		if !m.Listed(now) || slices.Contains(c.Tried, t.Name()) || now.Before(p.pauseEnd(m.Key())) {
 			continue
 		}
-		slots := float64(t.Slots())
-		if m.WarmingUp(now) {
-			slots *= warmUpFactor
-		}
 		risk, age, known := p.spec.Risks.Assess(now, m.Key())
 		if !known {
 			age = maxAge
@@ -235,7 +237,7 @@
 			member: m,
 			risk:   risk,
 			age:    min(age, maxAge),
-			slots:  slots,
+			slots:  slotsOf(now, m),
 			open:   float64(p.openPerTarget[m.Key()] + p.spec.RemoteLoad.OpenRequests(m.Key())),
 			local:  t.DataCentre() == p.spec.DataCentre,
 		})
@@ -346,17 +348,6 @@
 	}
 }
 
-func decrement[K comparable](counts map[K]int, k K) {
-	if counts[k]--; counts[k] <= 0 {
-		delete(counts, k)
-	}
-}
-
-// deletePast removes the instants that have come.
-func deletePast(now timer.Instant, until map[estimator.Key]timer.Instant) {
-	maps.DeleteFunc(until, func(_ estimator.Key, t timer.Instant) bool { return !now.Before(t) })
-}
-
 // OpenAttempts calls f with the number of open attempts at each target that has some.
 func (p *Placer) OpenAttempts(f func(k estimator.Key, open int)) {
 	p.mu.Lock()
--- a/internal/queuer/scheduler.go
+++ b/internal/queuer/scheduler.go
@@ -134,8 +134,9 @@
 		return q
 	}
 	q := &serviceQueue{
-		bound: 1,
-		flows: map[flow][]*Ticket{},
+		bound:      1,
+		flows:      map[flow][]*Ticket{},
+		startsFree: s.startsFree,
 	}
 	s.queues[service] = q
 
--- a/internal/queuer/scheduler_test.go
+++ b/internal/queuer/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -48,16 +49,36 @@
 	}
 }
 
+// newServiceScenario returns a scenario of one service on the platform's store.
+func newServiceScenario(bound int) *scenario {
+	s := newScenario(bound, math.MaxInt)
+	s.scheduler = queuer.NewServiceScheduler()
+
+	return s
+}
+
 func (s *scenario) enter(n int, class manifester.Class, t *manifester.Team, timeout time.Duration) {
 	for range n {
-		k := queuer.NewTicket(service(string(class), class), t, s.now.Add(timeout))
-		s.tickets = append(s.tickets, k)
-		s.names = append(s.names, fmt.Sprintf("%s/%s#%d", class, t.Name(), len(s.tickets)))
-		s.scheduler.Enter(s.now, k, s.bound, s.total)
+		s.add(queuer.NewTicket(service(string(class), class), t, s.now.Add(timeout)), fmt.Sprintf("%s/%s", class, t.Name()))
+	}
+	s.collect()
+}
+
+// enterRanked enters requests of one service with the priorities of a team and a route.
+func (s *scenario) enterRanked(n int, t *manifester.Team, priority, route int, timeout time.Duration) {
+	for range n {
+		k := queuer.NewTicket(service("fieldbook", ""), t, s.now.Add(timeout)).WithRank(queuer.NewRank(priority, route))
+		s.add(k, fmt.Sprintf("%d/%d/%s", priority, route, t.Name()))
 	}
 	s.collect()
 }
 
+func (s *scenario) add(k *queuer.Ticket, name string) {
+	s.tickets = append(s.tickets, k)
+	s.names = append(s.names, fmt.Sprintf("%s#%d", name, len(s.tickets)))
+	s.scheduler.Enter(s.now, k, s.bound, s.total)
+}
+
 // leave ends the n requests that started first, one after each period.
 func (s *scenario) leave(n int, after time.Duration) {
 	for range n {
@@ -121,6 +142,31 @@
 
 			return s
 		}},
+		// Guards against an order other than team priority, route priority, fair between
+		// teams, arrival, and against a full queue that drops important requests.
+		{"ranks", func() *scenario {
+			s := newServiceScenario(1)
+			s.enterRanked(30, light, 2, 0, time.Minute)
+			s.enterRanked(2, light, 1, 1, time.Minute)
+			s.enterRanked(2, light, 1, 0, time.Minute)
+			s.enterRanked(2, heavy, 1, 0, time.Minute)
+			s.leave(8, 100*time.Millisecond)
+
+			return s
+		}},
+		// Guards against a service that is closed because its requests take most of their
+		// time, and against waits that end too late.
+		{"slow", func() *scenario {
+			s := newServiceScenario(2)
+			s.enterRanked(2, light, 1, 0, 2500*time.Millisecond)
+			s.leave(2, 2*time.Second)
+			s.enterRanked(1, light, 1, 0, 2500*time.Millisecond)
+			s.enterRanked(1, heavy, 1, 0, 2500*time.Millisecond)
+			s.enterRanked(1, light, 1, 0, 2500*time.Millisecond)
+			s.leave(2, 2*time.Second)
+
+			return s
+		}},
 		{"full", func() *scenario {
 			s := newScenario(1, 8)
 			s.enter(33, manifester.ClassLookup, light, time.Minute)
@@ -143,8 +189,8 @@
 	total   int
 }
 
-func (b bounds) Service(*manifester.Service) int { return b.service }
-func (b bounds) Total() int                      { return b.total }
+func (b bounds) Service(string) int { return b.service }
+func (b bounds) Total() int         { return b.total }
 
 // TestQueuerConcurrent enters requests from many goroutines and checks that the
 // service's bound holds and that every request is started or refused.
@@ -161,8 +207,8 @@
 	var all sync.WaitGroup
 	for i := range 200 {
 		all.Go(func() {
-			k, v := q.Enter(ctx, s, team(fmt.Sprint(i%7), 1), timers.Now().Add(100*time.Millisecond))
-			if !v.Started() {
+			k := queuer.NewTicket(s, team(fmt.Sprint(i%7), 1), timers.Now().Add(100*time.Millisecond))
+			if v := q.Enter(ctx, k); !v.Started() {
 				refused.Add(1)
 
 				return
--- a/internal/queuer/service_queue.go
+++ b/internal/queuer/service_queue.go
@@ -16,6 +16,12 @@
 	// waitingFactor bounds the waiting requests of a service to this multiple
 	// of its bound on running ones.
 	waitingFactor = 32
+	// evenGain is the weight of every sample where the average is only used for requests
+	// that must wait, so that their wait is not underestimated.
+	evenGain = 0.1
+	// durationMargin is the multiple of the average running time that is then left to a
+	// request after its wait, as running times differ.
+	durationMargin = 2
 )
 
 // flow identifies the requests of one rank and team.
@@ -36,6 +42,8 @@
 	// averageDuration is the moving average of the running time; 0 before the
 	// first sample.
 	averageDuration time.Duration
+	// startsFree is that of the scheduler.
+	startsFree bool
 }
 
 func (q *serviceQueue) push(t *Ticket) {
@@ -121,7 +129,11 @@
 
 // expectedDuration returns the running time to expect of the request.
 func (q *serviceQueue) expectedDuration(t *Ticket) time.Duration {
-	return min(q.averageDuration, t.maxDuration)
+	if !q.startsFree {
+		return q.averageDuration
+	}
+
+	return min(durationMargin*q.averageDuration, t.maxDuration)
 }
 
 // missesDeadline reports whether a request that starts after the wait misses its
@@ -138,9 +150,12 @@
 // recordDuration updates the moving average with a request's running time.
 func (q *serviceQueue) recordDuration(took time.Duration) {
 	gain := riseGain
-	if q.averageDuration == 0 {
+	switch {
+	case q.averageDuration == 0:
 		gain = 1
-	} else if took < q.averageDuration {
+	case q.startsFree:
+		gain = evenGain
+	case took < q.averageDuration:
 		gain = fallGain
 	}
 	q.averageDuration += time.Duration(gain * float64(took-q.averageDuration))
--- a/internal/queuer/ticket.go
+++ b/internal/queuer/ticket.go
@@ -1,7 +1,6 @@
 package queuer
 
 import (
-	"math"
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -49,7 +48,8 @@
 	// weight is above 0.
 	weight   float64
 	deadline timer.Instant
-	// maxDuration bounds the running time that is expected of the request.
+	// maxDuration bounds the running time that is expected of the request, where the
+	// scheduler is one of a single service.
 	maxDuration time.Duration
 	// started is the instant at which the request was started; 0 before.
 	started timer.Instant
@@ -63,12 +63,11 @@
 // Requests without a team are scheduled together, as one team of weight 1.
 func NewTicket(s *manifester.Service, t *manifester.Team, deadline timer.Instant) *Ticket {
 	k := &Ticket{
-		service:     s.Name(),
-		rank:        RankOfClass(s.Class()),
-		weight:      1,
-		deadline:    deadline,
-		maxDuration: math.MaxInt64,
-		verdict:     make(chan Verdict, 1),
+		service:  s.Name(),
+		rank:     RankOfClass(s.Class()),
+		weight:   1,
+		deadline: deadline,
+		verdict:  make(chan Verdict, 1),
 	}
 	if t != nil {
 		k.team = t.Name()
