--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -20,6 +20,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/pacer"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
 	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
+	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
 	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
@@ -46,6 +47,9 @@
 	// assigner is nil if this VM prefers no targets.
 	assigner *assigner.Assigner
 	pacer    *pacer.Pacer
+	// rooms and queue are nil where the setting queue is off.
+	rooms    *placer.Rooms
+	queue    *queuer.Queuer
 	retries  *retrier.SharedRetrier
 	gossiper *gossiper.Gossiper
 	// quarantine refuses requests that crash their targets.
@@ -85,6 +89,7 @@
 		return nil, errors.Wrapf(err, "listening on %s; is another process using it?", s.Peers())
 	}
 	v.addGossip(reports)
+	v.addQueue()
 	v.transport = forwarder.NewTransport(v.timers, v.dialect, v.bodies, v.connections)
 	callers, err := bind(s.Callers())
 	if err != nil {
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -77,6 +77,9 @@
 	r.object("placement", func(o *reader) {
 		spec.AssignsTargets = o.boolean("assignTargets")
 	})
+	r.object("queue", func(o *reader) {
+		spec.Queue = o.boolean("enabled")
+	})
 	r.object("traces", func(o *reader) {
 		spec.Tracing = readTracing(o)
 	})
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -6,7 +6,7 @@
 import (
 	"cmp"
 	"context"
-	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -89,6 +89,9 @@
 	Degraded func(now timer.Instant, service string) bool
 	// KeepOverdue reports whether overdue attempts must not be abandoned.
 	KeepOverdue func() bool
+	// Random returns a number from 0 up to 1 by which a target is chosen; nil for
+	// unpredictable ones.
+	Random func() float64
 }
 
 // Attempt is one open attempt at a target.
@@ -140,6 +143,9 @@
 
 // New returns a placer without open attempts.
 func New(s Spec) *Placer {
+	if s.Random == nil {
+		s.Random = rand.Float64
+	}
 	outcomes := map[estimator.Outcome]metrics.Counter{}
 	for _, o := range estimator.Outcomes() {
 		outcomes[o] = metrics.NewCounter()
@@ -202,7 +208,7 @@
 	if p.spec.Assignment != nil && !f.degraded {
 		preferAssigned(list, f, p.spec.Assignment)
 	}
-	i := choose(list, f)
+	i := choose(list, p.spec.Random(), f)
 	if i < 0 {
 		return nil, false
 	}
@@ -241,10 +247,6 @@
 
 			continue
 		}
-		slots := float64(t.Slots())
-		if m.WarmingUp(now) {
-			slots *= warmUpFactor
-		}
 		risk, age, known := p.spec.Risks.Assess(now, m.Key())
 		if !known {
 			age = maxAge
@@ -253,7 +255,7 @@
 			member: m,
 			risk:   risk,
 			age:    min(age, maxAge),
-			slots:  slots,
+			slots:  slotsOf(now, m),
 			open:   float64(p.openPerTarget[m.Key()] + p.spec.RemoteLoad.OpenRequests(m.Key())),
 			local:  t.DataCentre() == p.spec.DataCentre,
 		})
@@ -367,17 +369,6 @@
 	}
 }
 
-func decrement[K comparable](counts map[K]int, k K) {
-	if counts[k]--; counts[k] <= 0 {
-		delete(counts, k)
-	}
-}
-
-// deletePast removes the instants that have come.
-func deletePast(now timer.Instant, until map[estimator.Key]timer.Instant) {
-	maps.DeleteFunc(until, func(_ estimator.Key, t timer.Instant) bool { return !now.Before(t) })
-}
-
 // OpenAttempts calls f with the number of open attempts at each target that has some.
 func (p *Placer) OpenAttempts(f func(k estimator.Key, open int)) {
 	p.mu.Lock()
