Pool rejections by targets as a rejection rate of each target

Cause: a target that rejects most requests got its full share of the attempts, since a rejection is no evidence about the risk.

Result: go test -race -p 2 ./internal/estimator ./internal/decoder ./internal/gossiper ./internal/placer ./internal/filterer passes.

--- a/internal/decoder/report_test.go
+++ b/internal/decoder/report_test.go
@@ -74,3 +74,26 @@
 		}
 	})
 }
+
+// TestUnknownOutcomeSkipped checks that a VM skips evidence with an outcome that it does
+// not know, as VMs of earlier versions skip rejections, and that the number of the new
+// outcome is none that they know.
+func TestUnknownOutcomeSkipped(t *testing.T) {
+	const lastOfEarlierVersions = 9
+	if estimator.OutcomeShed != lastOfEarlierVersions+1 {
+		t.Fatalf("the number of %v is %d", estimator.OutcomeShed, estimator.OutcomeShed)
+	}
+	r, err := decoder.Report(encoder.Report(gossiper.NewReport(gossiper.ReportSpec{
+		Evidence: []gossiper.Evidence{
+			gossiper.NewEvidence(1, estimator.OutcomeShed),
+			gossiper.NewEvidence(2, estimator.OutcomeShed+1),
+			gossiper.NewEvidence(3, estimator.OutcomeServed),
+		},
+	})))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Evidence()) != 2 || r.Evidence()[0].Outcome() != estimator.OutcomeShed || r.Evidence()[1].Target() != 3 {
+		t.Errorf("the decoded evidence is %v", r.Evidence())
+	}
+}
--- a/internal/estimator/outcome.go
+++ b/internal/estimator/outcome.go
@@ -26,6 +26,9 @@
 	OutcomeLeaving
 	// OutcomeFull is a refusal by a target that has no capacity for the request.
 	OutcomeFull
+	// OutcomeShed is a rejection of one request, which the target did not run. It is
+	// evidence about the rejection rate of the target and not about its risk.
+	OutcomeShed
 )
 
 // String returns the outcome's name.
@@ -49,6 +52,8 @@
 		return "leaving"
 	case OutcomeFull:
 		return "full"
+	case OutcomeShed:
+		return "shed"
 	default:
 		return "none"
 	}
@@ -58,12 +63,12 @@
 func Outcomes() []Outcome {
 	return []Outcome{
 		OutcomeServed, OutcomeFailed, OutcomeBroken, OutcomeSilent, OutcomeUnreachable, OutcomeGone, OutcomeErred,
-		OutcomeLeaving, OutcomeFull,
+		OutcomeLeaving, OutcomeFull, OutcomeShed,
 	}
 }
 
 // Valid reports whether the outcome is known.
-func (o Outcome) Valid() bool { return o >= OutcomeServed && o <= OutcomeFull }
+func (o Outcome) Valid() bool { return o >= OutcomeServed && o <= OutcomeShed }
 
 // Notice reports whether the outcome is a statement of the target about itself. It is no
 // evidence about the risk of the target.
--- a/internal/filterer/place.go
+++ b/internal/filterer/place.go
@@ -94,6 +94,7 @@
 	r := placer.Result{
 		Leaving: a.Leaving(),
 		Pause:   a.RetryAfter(),
+		Shed:    a.Fault() == handler.FaultShed,
 	}
 	switch a.Fault() {
 	case handler.FaultNone:
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -80,6 +80,12 @@
 	Merge(now timer.Instant, list []estimator.Estimate)
 }
 
+// rejectionObserver receives the attempts of the other VMs as evidence about the
+// rejection rates of targets.
+type rejectionObserver interface {
+	Observe(now timer.Instant, k estimator.Key, o estimator.Outcome)
+}
+
 // noticeObserver receives what targets stated about themselves to other VMs.
 type noticeObserver interface {
 	ObserveNotice(now timer.Instant, k estimator.Key, o estimator.Outcome)
@@ -121,11 +127,13 @@
 	// DataCentre is that of this VM.
 	DataCentre string
 	// StartID tells the runs of this VM apart.
-	StartID    uint32
-	Codec      codec
-	Clock      clock
-	Tallier    *tallier.Tallier
-	Estimator  riskEstimator
+	StartID   uint32
+	Codec     codec
+	Clock     clock
+	Tallier   *tallier.Tallier
+	Estimator riskEstimator
+	// Rejections is nil where the rejection rates of targets are not used.
+	Rejections rejectionObserver
 	Notices    noticeObserver
 	Quarantine quarantine
 	Loads      loadFunc
@@ -215,8 +223,8 @@
 	g.spread(r, to)
 }
 
-// ReportOutcome reports an attempt of this VM to the others. A served attempt waits for
-// the next regular report, and is dropped where maxEvidence attempts wait
+// ReportOutcome reports an attempt of this VM to the others. A served or rejected attempt
+// waits for the next regular report, and is dropped where maxEvidence attempts wait
 // already. Any other outcome is sent at once, as the other VMs may be about to
 // choose the same target. A target that is about to stop is reported twice, because the
 // others may never send it a request that would show it to them.
@@ -224,7 +232,7 @@
 	now := g.spec.Clock.Now()
 	e := NewEvidence(k, o)
 	g.mu.Lock()
-	if o == estimator.OutcomeServed {
+	if o == estimator.OutcomeServed || o == estimator.OutcomeShed {
 		if len(g.pendingEvidence) < maxEvidence {
 			g.pendingEvidence = append(g.pendingEvidence, e)
 		}
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/recoverer"
 	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
@@ -110,11 +111,7 @@
 		g.spec.Tallier.AddRemote(now, u.account, u.requested, u.used)
 	}
 	for _, e := range r.evidence {
-		if e.outcome.Notice() {
-			g.spec.Notices.ObserveNotice(now, e.target, e.outcome)
-		} else {
-			g.spec.Estimator.ObserveRemote(now, e.target, e.outcome)
-		}
+		g.applyEvidence(now, e)
 	}
 	for _, m := range r.marks {
 		g.spec.Quarantine.Apply(m)
@@ -126,6 +123,19 @@
 	g.updateReaders(r)
 }
 
+// applyEvidence passes an attempt of another VM to the parts that it is evidence for.
+func (g *Gossiper) applyEvidence(now timer.Instant, e Evidence) {
+	if g.spec.Rejections != nil {
+		g.spec.Rejections.Observe(now, e.target, e.outcome)
+	}
+	switch {
+	case e.outcome.Notice():
+		g.spec.Notices.ObserveNotice(now, e.target, e.outcome)
+	case e.outcome != estimator.OutcomeShed:
+		g.spec.Estimator.ObserveRemote(now, e.target, e.outcome)
+	}
+}
+
 // recordReport updates the peer that sent the report and returns the peer's use
 // of limits since its report before. It returns false where the report is a
 // duplicate or late; see peer.accept.
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -57,6 +56,9 @@
 	open float64
 	// age is the time since the last evidence, maxAge at most.
 	age time.Duration
+	// rejectionRate is the share of requests, 0 to 1, that the target rejects; 0 where
+	// rejection rates are not used.
+	rejectionRate float64
 	// local is set where the target is in the data centre of this VM.
 	local bool
 	// trial is set where the weight of the target was raised because it is idle.
@@ -117,7 +119,7 @@
 		weight = repeatableCost
 	}
 	late := lateCost * c.lateProbability(p)
-	cost := weight*c.risk + (1-c.risk)*late
+	cost := weight*c.risk + (1-c.risk)*late + c.rejectionRate
 	if !c.local {
 		cost += remoteCost
 	}
@@ -142,11 +144,11 @@
 // included.
 func (c candidate) queued() float64 { return math.Max(0, c.open+1-c.slots) }
 
-// choose returns the index of a target, chosen at random in proportion to the weights;
-// -1 without targets.
-func choose(list []candidate, p profile) int {
+// choose returns the index of a target, chosen in proportion to the weights by a random
+// number from 0 to below 1; -1 without targets.
+func choose(list []candidate, p profile, random float64) int {
 	weights, total := weigh(list, p)
-	at := rand.Float64() * total //nolint:gosec // Spreads load; not used for secrets.
+	at := random * total
 	for i, w := range weights {
 		if at -= w; at < 0 {
 			return i
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -76,11 +77,16 @@
 	Risks      riskSource
 	Observer   outcomeObserver
 	Reporter   outcomeReporter
+	// Rejections is nil where rejections by targets are neither used nor reported.
+	Rejections rejectionRates
 	Leaving    leavingMarker
 	RemoteLoad remoteLoad
 	Clock      clock
 	// Degraded reports whether too many of the service's requests are not served.
 	Degraded func(now timer.Instant, service string) bool
+	// Random returns a number from 0 to below 1. It is optional; without it the choice is
+	// drawn from the process's source.
+	Random func() float64
 	// KeepOverdue reports whether overdue attempts must not be abandoned.
 	KeepOverdue func() bool
 }
@@ -136,7 +142,12 @@
 func New(s Spec) *Placer {
 	outcomes := map[estimator.Outcome]metrics.Counter{}
 	for _, o := range estimator.Outcomes() {
-		outcomes[o] = metrics.NewCounter()
+		if o != estimator.OutcomeShed || s.Rejections != nil {
+			outcomes[o] = metrics.NewCounter()
+		}
+	}
+	if s.Random == nil {
+		s.Random = rand.Float64
 	}
 
 	return &Placer{
@@ -191,7 +202,7 @@
 		serviceLatency: cmp.Or(latencyOf(p.serviceLatencies, c.Service).expected(), l.expected()),
 		repeatable:     c.Repeatable,
 		degraded:       p.spec.Degraded(now, c.Service),
-	})
+	}, p.spec.Random())
 	if i < 0 {
 		return nil, false
 	}
@@ -238,6 +249,8 @@
 			slots:  slots,
 			open:   float64(p.openPerTarget[m.Key()] + p.spec.RemoteLoad.OpenRequests(m.Key())),
 			local:  t.DataCentre() == p.spec.DataCentre,
+
+			rejectionRate: p.rejectionRate(now, m.Key()),
 		})
 	}
 
@@ -295,6 +308,8 @@
 	Outcome estimator.Outcome
 	// Full is set where the target had no capacity for the request.
 	Full bool
+	// Shed is set where the target rejected the request, which it did not run.
+	Shed bool
 	// Leaving is set where the target stated that it is about to stop.
 	Leaving bool
 	// Pause is for how long the target asked this VM for no attempts; 0 where it did not.
@@ -333,6 +348,7 @@
 		p.spec.Observer.Observe(now, k, r.Outcome)
 		p.spec.Reporter.ReportOutcome(k, r.Outcome)
 	}
+	p.observeRejection(now, k, r)
 	p.reportNotices(now, k, r)
 }
 
