Space retries after rejections and reserve a part of their budget

Cause: while all targets of a service rejected 55 of 100 requests for 8 s, retries followed within 90 ms, the budget was used up, chance decided which request got a retry, and callers were refused without a Retry-After.

Change: watcher.Pressure counts the fleet's attempts and rejections of the last 1.5 s. While more than 3 in 10 are rejected, retrier.SpacedRetrier delays retries by 60 to 180 ms, doubled for each further attempt, and reserves 30% of the budget of the window for the highest rank that the VM has seen in it. The filter repeat waits by the timer service until the retry is due or the caller leaves; the budget is charged only then. A request that was rejected or got no retry, and that cannot have run, gets a Retry-After of 100 to 400 ms, of a quarter of the time left at most. Not used by any process yet.

--- a/internal/filterer/journal.go
+++ b/internal/filterer/journal.go
@@ -105,6 +105,7 @@
 	if s := x.Stop(); s != handler.StopNone && s != handler.StopFinal {
 		list = append(list, logger.Text("stopped", string(s)))
 	}
+	list = append(list, spacingAttributes(x)...)
 	var r *handler.Refusal
 	switch {
 	case errors.As(err, &r):
--- a/internal/filterer/repeat.go
+++ b/internal/filterer/repeat.go
@@ -25,14 +25,32 @@
 // on the platform's store.
 type Repeat struct {
 	policy repeatPolicy
+	spacer spacer
 	clock  clock
 }
 
-// NewRepeat returns the filter.
+// NewRepeat returns a filter that retries at once.
 func NewRepeat(p repeatPolicy, c clock) *Repeat {
 	return &Repeat{
 		policy: p,
-		clock:  c,
+		spacer: &immediate{
+			policy: p,
+			clock:  c,
+		},
+		clock: c,
+	}
+}
+
+// NewSpacedRepeat returns a filter that delays the retries of services under pressure, and
+// tells callers whose requests were rejected when to return.
+func NewSpacedRepeat(p spacingPolicy, c spacingClock) *Repeat {
+	return &Repeat{
+		policy: p,
+		spacer: &spaced{
+			policy: p,
+			clock:  c,
+		},
+		clock: c,
 	}
 }
 
@@ -44,6 +62,7 @@
 func (r *Repeat) Handle(ctx context.Context, x *handler.Exchange, next handler.Handler) error {
 	service := x.Service().Name()
 	r.policy.Begin(r.clock.Now(), service)
+	r.spacer.begin(x)
 	possibleRuns := 0
 	var response *handler.Response
 	var earlierErr error
@@ -52,13 +71,13 @@
 		err := next.Serve(ctx, x)
 		a := x.Attempt()
 		if a == previous { // No attempt was made.
-			return combineAttempts(x, errors.CombineErrors(earlierErr, err), possibleRuns > 0, response)
+			return r.spacer.finish(x, combineAttempts(x, errors.CombineErrors(earlierErr, err), possibleRuns > 0, response))
 		}
 		earlierRuns := possibleRuns
 		if a.MayHaveRun() {
 			possibleRuns++
 		}
-		x.SetStop(r.policy.DecideRetry(r.clock.Now(), retrier.RetryState{
+		x.SetStop(r.spacer.decide(ctx, x, retrier.RetryState{
 			Service:    service,
 			Deadline:   x.Deadline(),
 			Idempotent: x.Idempotent(),
@@ -68,7 +87,7 @@
 			Last:       a,
 		}))
 		if x.Stop() != handler.StopNone {
-			return combineAttempts(x, err, earlierRuns > 0, response)
+			return r.spacer.finish(x, combineAttempts(x, err, earlierRuns > 0, response))
 		}
 		if a.Response() != nil {
 			response = a.Response()
--- a/internal/handler/exchange.go
+++ b/internal/handler/exchange.go
@@ -34,6 +34,11 @@
 	history []AttemptRecord
 	// stop is the reason why no further attempt followed.
 	stop StopReason
+	// retryDelay is the total time that retries waited, and retryBasis holds the data
+	// behind their delay or refusal, for the log; 0 and "" unless the service is under
+	// pressure.
+	retryDelay time.Duration
+	retryBasis string
 	// risk is the failure probability of the present target that was estimated
 	// when it was chosen. trial is set if the target was preferred because it had
 	// received no recent requests.
@@ -151,6 +156,19 @@
 // SetStop sets the reason why no further attempt follows.
 func (x *Exchange) SetStop(s StopReason) { x.stop = s }
 
+// RetryDelay returns the total time that the retries of the request waited.
+func (x *Exchange) RetryDelay() time.Duration { return x.retryDelay }
+
+// RetryBasis returns the data behind the delay or the refusal of a retry, for the log, or
+// "" if the service was not under pressure.
+func (x *Exchange) RetryBasis() string { return x.retryBasis }
+
+// AddRetryDelay adds the time that a retry waited.
+func (x *Exchange) AddRetryDelay(d time.Duration) { x.retryDelay += d }
+
+// SetRetryBasis sets the data behind the delay or the refusal of a retry.
+func (x *Exchange) SetRetryBasis(text string) { x.retryBasis = text }
+
 // AttemptRecord is one entry in the history of an exchange.
 type AttemptRecord struct {
 	attempt *Attempt
--- a/internal/handler/stop.go
+++ b/internal/handler/stop.go
@@ -18,4 +18,9 @@
 	StopTime StopReason = "time"
 	// StopBudget means that the fleet's retry budget is used up.
 	StopBudget StopReason = "budget"
+	// StopReserved means that what is left of the fleet's retry budget is reserved for
+	// requests of a higher rank.
+	StopReserved StopReason = "reserved"
+	// StopLeft means that the caller closed its connection while a retry waited.
+	StopLeft StopReason = "left"
 )
--- a/internal/retrier/shared_retrier.go
+++ b/internal/retrier/shared_retrier.go
@@ -40,6 +40,8 @@
 	// Limit is the route's bound on MayHaveRun; 0 where only maxAttempts applies.
 	Limit int
 	Last  *handler.Attempt
+	// Rank is that of the request; only SpacedRetrier uses it.
+	Rank Rank
 }
 
 // SharedRetrier decides about retries with a budget that all VMs share. It is safe for
@@ -75,6 +77,22 @@
 // budget, unless the attempt did not reach its target. It returns handler.StopNone
 // for a retry, and otherwise the reason why none follows.
 func (s *SharedRetrier) DecideRetry(now timer.Instant, r RetryState) handler.StopReason {
+	if stop := judge(now, r); stop != handler.StopNone || neverReached(r.Last) {
+		return stop
+	}
+	if !s.budget.Use(now, tallier.RetryAccount(r.Service)).Granted() {
+		s.refused.Inc(1)
+
+		return handler.StopBudget
+	}
+	s.allowed.Inc(1)
+
+	return handler.StopNone
+}
+
+// judge returns the reason why no retry follows the attempt, or handler.StopNone if the
+// budget decides.
+func judge(now timer.Instant, r RetryState) handler.StopReason {
 	limit := maxAttempts
 	if r.Limit > 0 {
 		limit = min(limit, r.Limit)
@@ -88,14 +106,7 @@
 		return handler.StopAttempts
 	case r.Deadline.Sub(now) < minSharedTimeLeft:
 		return handler.StopTime
-	case neverReached(r.Last):
+	default:
 		return handler.StopNone
-	case !s.budget.Use(now, tallier.RetryAccount(r.Service)).Granted():
-		s.refused.Inc(1)
-
-		return handler.StopBudget
 	}
-	s.allowed.Inc(1)
-
-	return handler.StopNone
 }
--- a/internal/tallier/account.go
+++ b/internal/tallier/account.go
@@ -35,8 +35,8 @@
 	addOwn(requested, used float64)
 	addRemote(requested, used float64)
 	// remaining returns what the fleet may still use (left), and what this VM may
-	// still use in the present round (part).
-	remaining(f fleet) (left, part float64)
+	// still use in the present round (part), if the reserve stays unused.
+	remaining(f fleet, r Reserve) (left, part float64)
 	// refuse returns the time after which a refused request may be granted. It may
 	// count the request as one that will be sent again.
 	refuse(f fleet) time.Duration
@@ -84,11 +84,20 @@
 	a.limiter.addOwn(1, 0)
 }
 
-// use counts one use by this VM, if it is allowed.
-func (a *account) use(f fleet) Verdict {
-	left, part := a.limiter.remaining(f)
+// allows reports whether one more use by this VM is allowed that leaves the
+// reserve unused.
+func (a *account) allows(f fleet, r Reserve) bool {
+	left, part := a.limiter.remaining(f, r)
+
+	return left >= 1 && part >= 1
+}
+
+// use counts one use by this VM, if it is allowed. It leaves the reserve unused.
+func (a *account) use(f fleet, r Reserve) Verdict {
+	left, part := a.limiter.remaining(f, r)
 	if left < 1 || part < 1 {
 		return Verdict{
+			reserved:   a.allows(f, r.withoutFraction()),
 			retryAfter: min(max(a.limiter.refuse(f), minRetryAfter), maxRetryAfter),
 			basis: Basis{
 				left:  left,
--- a/internal/tallier/bucket.go
+++ b/internal/tallier/bucket.go
@@ -93,7 +93,8 @@
 // recent returns 0, as a bucket keeps no history.
 func (*bucket) recent(time.Duration) (requested, used float64) { return 0, 0 }
 
-func (b *bucket) remaining(f fleet) (left, part float64) {
+// remaining ignores the reserve: only limits of a ratio have one.
+func (b *bucket) remaining(f fleet, _ Reserve) (left, part float64) {
 	return b.level, b.allowed(f) - b.usedInRound
 }
 
--- a/internal/tallier/tallier.go
+++ b/internal/tallier/tallier.go
@@ -24,6 +24,10 @@
 // RetryAccount returns the account of a service's requests and their retries.
 func RetryAccount(service string) Account { return Account(hasher.Sum("retry", service)) }
 
+// ShedAccount returns the account of a service's attempts and of those among them that
+// targets rejected.
+func ShedAccount(service string) Account { return Account(hasher.Sum("shed", service)) }
+
 // FailureAccount returns the account of a service's requests and of those among
 // them that were not served.
 func FailureAccount(service string) Account { return Account(hasher.Sum("failure", service)) }
@@ -99,6 +103,8 @@
 	granted bool
 	// retryAfter is the time after which another request may be granted; 0 where granted.
 	retryAfter time.Duration
+	// reserved is set where the use is refused only because the rest is reserved.
+	reserved bool
 	// basis is what a refusal is based on; zero where granted.
 	basis Basis
 }
@@ -123,6 +129,9 @@
 // Granted reports whether the use is allowed.
 func (v Verdict) Granted() bool { return v.granted }
 
+// Reserved reports whether the use is refused only because the rest is reserved.
+func (v Verdict) Reserved() bool { return v.reserved }
+
 // Basis returns what a refusal is based on.
 func (v Verdict) Basis() Basis { return v.basis }
 
@@ -177,7 +186,7 @@
 	}
 	a.addRequest()
 
-	return a.use(t.fleet)
+	return a.use(t.fleet, Reserve{})
 }
 
 // AddRequest counts a request that uses nothing by itself.
@@ -192,6 +201,11 @@
 // Use reports whether one more use is allowed, which it then counts. It counts no
 // request. An account without a limit grants everything.
 func (t *Tallier) Use(now timer.Instant, id Account) Verdict {
+	return t.UseAbove(now, id, Reserve{})
+}
+
+// UseAbove is like Use, but it leaves the reserve of a limit of a ratio unused.
+func (t *Tallier) UseAbove(now timer.Instant, id Account, r Reserve) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a, ok := t.account(now, id)
@@ -201,7 +215,24 @@
 		}
 	}
 
-	return a.use(t.fleet)
+	return a.use(t.fleet, r)
+}
+
+// Check returns what UseAbove would decide, without the basis of a refusal, and counts
+// nothing.
+func (t *Tallier) Check(now timer.Instant, id Account, r Reserve) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a, ok := t.account(now, id)
+	if !ok || a.allows(t.fleet, r) {
+		return Verdict{
+			granted: true,
+		}
+	}
+
+	return Verdict{
+		reserved: a.allows(t.fleet, r.withoutFraction()),
+	}
 }
 
 // AddUse counts one use, whether it is allowed or not.
--- a/internal/tallier/window.go
+++ b/internal/tallier/window.go
@@ -90,8 +90,9 @@
 // left returns what the fleet may still use. Use from before this VM began to
 // count is not known, so for the length of a window most of the extra use counts as
 // used. Only the heard fraction of what is allowed is left, because the VMs that
-// are not heard may use the rest for the same requests.
-func (w *window) left(f fleet) float64 {
+// are not heard may use the rest for the same requests. What is reserved is
+// not counted as left.
+func (w *window) left(f fleet, r Reserve) float64 {
 	allowed, used := w.extra, 0.0
 	if w.age < w.length {
 		allowed *= initialFraction
@@ -101,13 +102,13 @@
 		used += w.used[i]
 	}
 
-	return allowed*f.heardFraction() - used
+	return allowed*f.heardFraction()*(1-r.fraction) - used
 }
 
-func (w *window) remaining(f fleet) (left, part float64) {
-	left = w.left(f)
+func (w *window) remaining(f fleet, r Reserve) (left, part float64) {
+	left = w.left(f, r)
 
-	return left, math.Max(1, left*math.Min(1, roundShares/float64(f.heard))) - w.usedInRound
+	return left, math.Max(1, left*math.Min(1, r.shares()/float64(f.heard))) - w.usedInRound
 }
 
 func (*window) refuse(fleet) time.Duration { return windowRetryAfter }
