Add the setting retries.spacing, and explain delayed and refused retries

Change: with "retries": {"spacing": true} a VM on the platform's store uses the rejection rates of targets and the spaced retrier; without it nothing is counted, reported or registered that was not before. The log line of a request has retryDelayMs and retryBasis where its service is under pressure, stopped=reserved and stopped=left; explain tells them.

Result: go test -race -p 2 of the changed packages (retrier, tallier, watcher, filterer, handler, placer, estimator, gossiper, decoder, explainer, assembler) passes, and go test ./platform/adapter without the setting (25 s). Trial: the end-to-end tests with the setting put on by hand passed but for TestLateRequestOfPlannedStop (each VM uses both targets: not within 20 s), in 115 s on a busy machine; not yet traced.

--- a/internal/assembler/store_chain.go
+++ b/internal/assembler/store_chain.go
@@ -71,7 +71,7 @@
 		filterer.NewDeadline(v.dialect.Timeout()),
 		filterer.NewQuarantine(v.quarantine),
 		filterer.NewAdmit(&sharedRates{tallier: v.tallier, timers: v.timers}, v.tracer),
-		filterer.NewRepeat(v.retries, v.timers),
+		v.repeat(),
 		filterer.NewCrashWatch(v.quarantine, v.transport),
 		filterer.NewPlace(v.placer, v.meter, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
--- a/internal/assembler/store_gossip.go
+++ b/internal/assembler/store_gossip.go
@@ -20,7 +20,7 @@
 func (v *StoreVM) addGossip(conn net.PacketConn) {
 	broadcaster := &deferredBroadcaster{}
 	v.quarantine = quarantiner.New(v.timers, broadcaster, v.logger)
-	v.gossiper = gossiper.New(gossiper.Spec{
+	reports := gossiper.Spec{
 		Conn:       conn,
 		Self:       v.settings.Peers(),
 		DataCentre: v.settings.DataCentre(),
@@ -35,9 +35,13 @@
 		Quarantine: v.quarantine,
 		Loads:      v.loads,
 		Logger:     v.logger,
-	})
+	}
+	if v.spacing != nil {
+		reports.Rejections = v.spacing.rejections
+	}
+	v.gossiper = gossiper.New(reports)
 	broadcaster.delegate = v.gossiper
-	v.placer = placer.New(placer.Spec{
+	choice := placer.Spec{
 		DataCentre:  v.settings.DataCentre(),
 		Targets:     v.registrar,
 		Risks:       v.estimator,
@@ -48,7 +52,11 @@
 		Clock:       v.timers,
 		Degraded:    v.watcher.Degraded,
 		KeepOverdue: v.stopping,
-	})
+	}
+	if v.spacing != nil {
+		choice.Rejections = v.spacing.rejections
+	}
+	v.placer = placer.New(choice)
 }
 
 // loads returns the number of open requests of this VM at each target.
--- a/internal/assembler/store_limits.go
+++ b/internal/assembler/store_limits.go
@@ -9,6 +9,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/internal/watcher"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
@@ -24,14 +25,17 @@
 	source *adopter.Adopter
 	// retries limits the retries of each service.
 	retries retrier.Allowance
+	// spacing is set where the attempts at services and those rejected are counted.
+	spacing bool
 	// table is rebuilt when the manifest has changed; never nil.
 	table atomic.Pointer[limitTable]
 }
 
-func newLimits(a *adopter.Adopter, r retrier.Allowance) *limits {
+func newLimits(a *adopter.Adopter, r retrier.Allowance, spacing bool) *limits {
 	l := &limits{
 		source:  a,
 		retries: r,
+		spacing: spacing,
 	}
 	l.table.Store(&limitTable{})
 
@@ -65,6 +69,9 @@
 		// Failures are only counted; no part of the process asks whether one is allowed.
 		t.limits[tallier.FailureAccount(s.Name())] = tallier.NewRatio(1, 0, l.retries.Window())
 		t.limits[tallier.RetryAccount(s.Name())] = tallier.NewRatio(l.retries.PerRequest(), l.retries.Extra(), l.retries.Window())
+		if l.spacing {
+			t.limits[tallier.ShedAccount(s.Name())] = tallier.NewRatio(1, 0, watcher.PressureWindow)
+		}
 	}
 
 	return t
--- a/internal/assembler/store_operators.go
+++ b/internal/assembler/store_operators.go
@@ -20,7 +20,7 @@
 	}
 	v.gossiper.Each(v.meter.RegisterCounter)
 	v.placer.Each(v.meter.RegisterCounter)
-	v.retries.Each(v.meter.RegisterCounter)
+	v.registerRetries()
 	v.store.Each(v.meter.RegisterCounter)
 }
 
@@ -47,6 +47,9 @@
 func (v *StoreVM) removeStale(now timer.Instant) {
 	v.estimator.Forget(now)
 	v.registrar.Forget(now)
+	if v.spacing != nil {
+		v.spacing.rejections.Forget(now)
+	}
 	v.meter.Keep(func(route string) bool {
 		_, ok := v.adopter.Manifest().Route(route)
 
--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -40,7 +40,9 @@
 	watcher   *watcher.Watcher
 	placer    *placer.Placer
 	retries   *retrier.SharedRetrier
-	gossiper  *gossiper.Gossiper
+	// spacing is nil without the setting that delays retries after rejections.
+	spacing  *spacing
+	gossiper *gossiper.Gossiper
 	// quarantine refuses requests that crash their targets.
 	quarantine *quarantiner.Quarantiner
 }
@@ -69,9 +71,12 @@
 		names:  v.registrar,
 		logger: l,
 	})
-	v.tallier = tallier.New(v.timers.Now(), newLimits(v.adopter, s.Retries()))
+	v.tallier = tallier.New(v.timers.Now(), newLimits(v.adopter, s.Retries(), s.RetrySpacing()))
 	v.watcher = watcher.New(v.tallier)
 	v.retries = retrier.NewSharedRetrier(v.tallier)
+	if s.RetrySpacing() {
+		v.spacing = newSpacing(v.tallier, s.Retries())
+	}
 	reports, err := (&net.ListenConfig{}).ListenPacket(context.Background(), "udp4", s.Peers())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening on %s; is another process using it?", s.Peers())
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -47,6 +47,8 @@
 	readyPath string
 	// retries is the platform's allowance of retries for each service.
 	retries retrier.Allowance
+	// retrySpacing is set where retries after rejections are delayed.
+	retrySpacing bool
 	// retention is the least time that the log keeps a record; above 0.
 	retention time.Duration
 	// maxBody is the largest size of a request's body in bytes.
@@ -118,7 +120,9 @@
 	Store      string
 	ReadyPath  string
 	Retries    retrier.Allowance
-	Metrics    string
+	// RetrySpacing is optional.
+	RetrySpacing bool
+	Metrics      string
 	// Retention is optional; 0 means DefaultRetention.
 	Retention time.Duration
 	MaxBody   int
@@ -146,14 +150,17 @@
 		store:      s.Store,
 		readyPath:  s.ReadyPath,
 		retries:    s.Retries,
-		metrics:    s.Metrics,
-		retention:  cmp.Or(s.Retention, DefaultRetention),
-		maxBody:    s.MaxBody,
-		memory:     s.Memory,
-		peerKeys:   s.PeerKeys,
-		stopGrace:  s.StopGrace,
-		logFormat:  s.LogFormat,
-		tracing:    s.Tracing,
+
+		retrySpacing: s.RetrySpacing,
+
+		metrics:   s.Metrics,
+		retention: cmp.Or(s.Retention, DefaultRetention),
+		maxBody:   s.MaxBody,
+		memory:    s.Memory,
+		peerKeys:  s.PeerKeys,
+		stopGrace: s.StopGrace,
+		logFormat: s.LogFormat,
+		tracing:   s.Tracing,
 	}
 }
 
@@ -201,6 +208,10 @@
 // platform's store apply it.
 func (s *Settings) Retries() retrier.Allowance { return s.retries }
 
+// RetrySpacing reports whether retries after rejections are delayed. Only VMs on the
+// platform's store delay them.
+func (s *Settings) RetrySpacing() bool { return s.retrySpacing }
+
 // Retention returns the least time that the log keeps a record.
 func (s *Settings) Retention() time.Duration { return s.retention }
 
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -69,6 +69,7 @@
 	})
 	r.object("retries", func(o *reader) {
 		spec.Retries = readAllowance(o)
+		spec.RetrySpacing = o.boolean("spacing")
 	})
 	r.object("traces", func(o *reader) {
 		spec.Tracing = readTracing(o)
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -37,3 +37,23 @@
 		})
 	}
 }
+
+// TestExplainSpacing compares the explanations of requests whose retries waited, were refused
+// for requests of a higher rank, or ended as their caller left, with the golden files.
+func TestExplainSpacing(t *testing.T) {
+	data, err := os.ReadFile("testdata/spacing.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	for _, id := range []string{"a1", "a2", "a3"} {
+		e := explainer.New(id)
+		if err := e.Read(bytes.NewReader(data)); err != nil {
+			t.Fatal(err)
+		}
+		if err := e.Write(&out); err != nil {
+			t.Fatal(err)
+		}
+	}
+	goldie.New(t).Assert(t, "spacing", out.Bytes())
+}
--- a/internal/explainer/reason.go
+++ b/internal/explainer/reason.go
@@ -28,6 +28,8 @@
 	handler.StopAttempts:   "the limit on attempts was reached",
 	handler.StopTime:       "too little time was left for another attempt",
 	handler.StopBudget:     "the service's retry budget was used up",
+	handler.StopReserved:   "what was left of the service's retry budget was reserved for requests of a higher rank",
+	handler.StopLeft:       "the caller left while a retry waited",
 }
 
 // reason returns why the request ended as it did, and why it was not retried.
@@ -37,7 +39,7 @@
 		text += "; " + stop
 	}
 
-	return text
+	return text + pressureNote(l)
 }
 
 // ending returns why the request ended as it did.
--- a/internal/filterer/repeat.go
+++ b/internal/filterer/repeat.go
@@ -43,11 +43,12 @@
 
 // NewSpacedRepeat returns a filter that delays the retries of services under pressure, and
 // tells callers whose requests were rejected when to return.
-func NewSpacedRepeat(p spacingPolicy, c spacingClock) *Repeat {
+func NewSpacedRepeat(p spacingPolicy, w pauses, c spacingClock) *Repeat {
 	return &Repeat{
 		policy: p,
 		spacer: &spaced{
 			policy: p,
+			pauses: w,
 			clock:  c,
 		},
 		clock: c,
--- a/internal/filterer/spacing.go
+++ b/internal/filterer/spacing.go
@@ -51,11 +51,18 @@
 	// UnderPressure reports whether targets reject many attempts at the service.
 	UnderPressure(now timer.Instant, service string) bool
 	// RetryAfter returns the time after which the caller of a refused request may
-	// return, and LimitRetryAfter bounds such a time; both by the time left.
-	RetryAfter(now, deadline timer.Instant) time.Duration
+	// return, where all targets are paused for the given time or 0. LimitRetryAfter
+	// bounds such a time. Both leave the caller a part of the time left.
+	RetryAfter(now, deadline timer.Instant, pause time.Duration) time.Duration
 	LimitRetryAfter(now, deadline timer.Instant, d time.Duration) time.Duration
 }
 
+type pauses interface {
+	// Wait returns the time until a target of the service may get an attempt again,
+	// if all of them are paused; otherwise 0.
+	Wait(now timer.Instant, service string) time.Duration
+}
+
 type spacingClock interface {
 	clock
 
@@ -65,6 +72,7 @@
 // spaced delays the retries of services under pressure.
 type spaced struct {
 	policy spacingPolicy
+	pauses pauses
 	clock  spacingClock
 }
 
@@ -108,7 +116,7 @@
 	now := s.clock.Now()
 	switch {
 	case s.returnsSoon(now, x, r):
-		return r.WithRetryAfter(s.policy.RetryAfter(now, x.Deadline()))
+		return r.WithRetryAfter(s.policy.RetryAfter(now, x.Deadline(), s.pauses.Wait(now, x.Service().Name())))
 	case r.RetryAfter() > 0:
 		return r.WithRetryAfter(s.policy.LimitRetryAfter(now, x.Deadline(), r.RetryAfter()))
 	default:
--- a/internal/filterer/spacing_test.go
+++ b/internal/filterer/spacing_test.go
@@ -31,6 +31,11 @@
 	return tallier.NewRatio(1, 0, watcher.PressureWindow), true
 }
 
+// noPauses stands for targets of which none is paused.
+type noPauses struct{}
+
+func (noPauses) Wait(timer.Instant, string) time.Duration { return 0 }
+
 // promptClock advances a manual clock to the end of each wait once it begins, and counts
 // the waits.
 type promptClock struct {
@@ -96,7 +101,7 @@
 				clock := &promptClock{Manual: timer.NewManual(timer.Instant(time.Hour))}
 				x := newExchange(idempotent, clock.Now())
 				s := &scriptedAttempts{attempts: c.attempts}
-				err := filterer.NewSpacedRepeat(newSpaced(clock.Now(), pressed), clock).Handle(context.Background(), x, s)
+				err := filterer.NewSpacedRepeat(newSpaced(clock.Now(), pressed), noPauses{}, clock).Handle(context.Background(), x, s)
 				var r *handler.Refusal
 				retryAfter := time.Duration(0)
 				if errors.As(err, &r) {
@@ -153,7 +158,7 @@
 	s := &scriptedAttempts{attempts: []*handler.Attempt{rejected(), rejected()}}
 	ctx, leave := context.WithCancel(t.Context())
 	done := make(chan error)
-	go func() { done <- filterer.NewSpacedRepeat(policy, clock).Handle(ctx, x, s) }()
+	go func() { done <- filterer.NewSpacedRepeat(policy, noPauses{}, clock).Handle(ctx, x, s) }()
 	<-clock.waiting
 	clock.Advance(50 * time.Millisecond)
 	leave()
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -140,18 +139,12 @@
 
 // New returns a placer without open attempts.
 func New(s Spec) *Placer {
-	outcomes := map[estimator.Outcome]metrics.Counter{}
-	for _, o := range estimator.Outcomes() {
-		if o != estimator.OutcomeShed || s.Rejections != nil {
-			outcomes[o] = metrics.NewCounter()
-		}
-	}
 	if s.Random == nil {
 		s.Random = rand.Float64
 	}
 
 	return &Placer{
-		outcomes:         outcomes,
+		outcomes:         newOutcomeCounters(s),
 		spec:             s,
 		open:             map[*Attempt]struct{}{},
 		openPerTarget:    map[estimator.Key]int{},
@@ -362,17 +355,6 @@
 	}
 }
 
-func decrement[K comparable](counts map[K]int, k K) {
-	if counts[k]--; counts[k] <= 0 {
-		delete(counts, k)
-	}
-}
-
-// deletePast removes the instants that have come.
-func deletePast(now timer.Instant, until map[estimator.Key]timer.Instant) {
-	maps.DeleteFunc(until, func(_ estimator.Key, t timer.Instant) bool { return !now.Before(t) })
-}
-
 // OpenAttempts calls f with the number of open attempts at each target that has some.
 func (p *Placer) OpenAttempts(f func(k estimator.Key, open int)) {
 	p.mu.Lock()
--- a/internal/retrier/spaced_retrier.go
+++ b/internal/retrier/spaced_retrier.go
@@ -200,9 +200,15 @@
 }
 
 // RetryAfter returns the time after which the caller of a refused request may return. It is
-// spread at random, so that callers who were refused together do not return together.
-func (s *SpacedRetrier) RetryAfter(now, deadline timer.Instant) time.Duration {
-	return s.LimitRetryAfter(now, deadline, s.between(minRetryAfter, maxRetryAfter))
+// spread at random, so that callers who were refused together do not return together. A pause
+// of all targets that is longer than maxRetryAfter is added.
+func (s *SpacedRetrier) RetryAfter(now, deadline timer.Instant, pause time.Duration) time.Duration {
+	d := s.between(minRetryAfter, maxRetryAfter)
+	if pause > maxRetryAfter {
+		d += pause
+	}
+
+	return s.LimitRetryAfter(now, deadline, d)
 }
 
 // LimitRetryAfter returns the time, or a part of the time left if that is less, in whole
--- a/internal/retrier/spaced_retrier_test.go
+++ b/internal/retrier/spaced_retrier_test.go
@@ -82,9 +82,12 @@
 	now = now.Add(3 * time.Second)
 	plan("no rejections for 3 s", low, 1, time.Second, shed)
 	fmt.Fprintf(&out, "Retry-After %v, with 1 s left %v, with 3 ms left %v, after the deadline %v, limited %v\n",
-		r.RetryAfter(now, now.Add(time.Minute)), r.RetryAfter(now, now.Add(900*time.Millisecond)),
-		r.RetryAfter(now, now.Add(3*time.Millisecond)), r.RetryAfter(now, now.Add(-time.Second)),
+		r.RetryAfter(now, now.Add(time.Minute), 0), r.RetryAfter(now, now.Add(900*time.Millisecond), 0),
+		r.RetryAfter(now, now.Add(3*time.Millisecond), 0), r.RetryAfter(now, now.Add(-time.Second), 0),
 		r.LimitRetryAfter(now, now.Add(time.Second), time.Minute))
+	fmt.Fprintf(&out, "all targets pause for 250 ms: %v, for 2 s: %v, with 4 s left %v\n",
+		r.RetryAfter(now, now.Add(time.Minute), 250*time.Millisecond), r.RetryAfter(now, now.Add(time.Minute), 2*time.Second),
+		r.RetryAfter(now, now.Add(4*time.Second), 2*time.Second))
 	r.Each(func(name string, n metrics.Counter) { fmt.Fprintf(&out, "%s %d\n", name, n.Count()) })
 	goldie.New(t).Assert(t, "plan_retry", out.Bytes())
 }
--- a/internal/retrier/spacing_fleet_test.go
+++ b/internal/retrier/spacing_fleet_test.go
@@ -228,7 +228,7 @@
 	case s.Last.Status() == 200:
 		c.served = true
 	case v.spaced != nil && s.MayHaveRun == 0:
-		f.sendBack(c, v.spaced.RetryAfter(f.now, c.deadline))
+		f.sendBack(c, v.spaced.RetryAfter(f.now, c.deadline, 0))
 	}
 }
 
