Do not divide by a retry window of 0

Cause: settings that are built without an allowance have a window of 0, by which the table of ranks divided: every request ended in a panic. Decoded settings always have a window.

Result: go test ./internal/retrier passes.

--- a/internal/retrier/rank.go
+++ b/internal/retrier/rank.go
@@ -105,7 +105,7 @@
 
 func newRankTable(window time.Duration) *rankTable {
 	t := &rankTable{
-		period: window / periodsPerWindow,
+		period: max(1, window/periodsPerWindow), // Settings built without an allowance have no window.
 	}
 	t.services.Store(&map[string]*atomic.Pointer[seenRanks]{})
 
--- a/internal/retrier/spaced_retrier_test.go
+++ b/internal/retrier/spaced_retrier_test.go
@@ -122,3 +122,17 @@
 		}
 	}
 }
+
+// TestRankWithoutWindow guards against a division by zero on the path of a request where
+// the settings were built without an allowance, whose window is 0.
+func TestRankWithoutWindow(t *testing.T) {
+	budget := tallier.New(0, pressureLimits{})
+	r := retrier.NewSpacedRetrier(budget, watcher.NewPressure(budget), 0, func() float64 { return 0 })
+	now := timer.Instant(time.Hour)
+	r.NoteRank(now, "s", retrier.NewRank(0, 0))
+	if p := r.PlanRetry(now, retrier.RetryState{
+		Service: "s", Deadline: now.Add(time.Second), Attempts: 1, Last: failed(handler.FaultShed, true),
+	}); p.Stop() != handler.StopNone {
+		t.Errorf("stop %q", p.Stop())
+	}
+}
