--- a/internal/assembler/store_chain.go
+++ b/internal/assembler/store_chain.go
@@ -87,7 +87,7 @@
 
 	return handler.NewChain(append(
 		filters,
-		filterer.NewRepeat(v.retries, v.timers),
+		v.repeat(),
 		filterer.NewCrashWatch(v.quarantine, v.transport),
 		filterer.NewPlace(v.placer, v.meter, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
--- a/internal/assembler/store_gossip.go
+++ b/internal/assembler/store_gossip.go
@@ -21,7 +21,7 @@
 func (v *StoreVM) addGossip(conn net.PacketConn) {
 	broadcaster := &deferredBroadcaster{}
 	v.quarantine = quarantiner.New(v.timers, broadcaster, v.logger)
-	v.gossiper = gossiper.New(gossiper.Spec{
+	spec := gossiper.Spec{
 		Conn:       conn,
 		Self:       v.settings.Peers(),
 		DataCentre: v.settings.DataCentre(),
@@ -38,8 +38,17 @@
 		Logger:     v.logger,
 
 		MaxRelayedRecord: v.settings.MaxRelayedRecord(),
-	})
+	}
+	if v.spacing != nil {
+		spec.Rejections = v.spacing.rejections
+	}
+	v.gossiper = gossiper.New(spec)
 	broadcaster.delegate = v.gossiper
+	v.addPlacer()
+}
+
+// addPlacer builds the placer and the parts that it asks about targets.
+func (v *StoreVM) addPlacer() {
 	v.pacer = v.newPacer()
 	spec := placer.Spec{
 		DataCentre:  v.settings.DataCentre(),
@@ -64,6 +73,9 @@
 		})
 		spec.Assignment = v.assigner
 	}
+	if v.spacing != nil {
+		spec.Rejections = v.spacing.rejections
+	}
 	v.placer = placer.New(spec)
 }
 
--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -48,9 +48,11 @@
 	assigner *assigner.Assigner
 	pacer    *pacer.Pacer
 	// rooms and queue are nil where the setting queue is off.
-	rooms    *placer.Rooms
-	queue    *queuer.Queuer
-	retries  *retrier.SharedRetrier
+	rooms   *placer.Rooms
+	queue   *queuer.Queuer
+	retries *retrier.SharedRetrier
+	// spacing is nil without the setting that delays retries after rejections.
+	spacing  *spacing
 	gossiper *gossiper.Gossiper
 	// quarantine refuses requests that crash their targets.
 	quarantine *quarantiner.Quarantiner
@@ -81,9 +83,12 @@
 		names:  v.registrar,
 		logger: l,
 	})
-	v.tallier = tallier.New(v.timers.Now(), newLimits(v.adopter, s.Retries()))
+	v.tallier = tallier.New(v.timers.Now(), newLimits(v.adopter, s.Retries(), s.RetrySpacing()))
 	v.watcher = watcher.New(v.tallier)
 	v.retries = retrier.NewSharedRetrier(v.tallier)
+	if s.RetrySpacing() {
+		v.spacing = newSpacing(v.tallier, s.Retries())
+	}
 	reports, err := (&net.ListenConfig{}).ListenPacket(context.Background(), "udp4", s.Peers())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening on %s; is another process using it?", s.Peers())
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -49,6 +49,8 @@
 	retries retrier.Allowance
 	// queue is set where requests wait for room of their service.
 	queue bool
+	// retrySpacing is set where retries after rejections are delayed.
+	retrySpacing bool
 	// retention is the least time that the log keeps a record; above 0.
 	retention time.Duration
 	// maxBody is the largest size of a request's body in bytes.
@@ -127,6 +129,8 @@
 	Retries    retrier.Allowance
 	Queue      bool
 	Metrics    string
+	// RetrySpacing is optional.
+	RetrySpacing bool
 	// Retention is optional; 0 means DefaultRetention.
 	Retention time.Duration
 	MaxBody   int
@@ -158,7 +162,6 @@
 		store:      s.Store,
 		readyPath:  s.ReadyPath,
 		retries:    s.Retries,
-		queue:      s.Queue,
 		metrics:    s.Metrics,
 		retention:  cmp.Or(s.Retention, DefaultRetention),
 		maxBody:    s.MaxBody,
@@ -170,6 +173,8 @@
 
 		assignsTargets:   s.AssignsTargets,
 		maxRelayedRecord: s.MaxRelayedRecord,
+		queue:            s.Queue,
+		retrySpacing:     s.RetrySpacing,
 	}
 }
 
@@ -221,6 +226,10 @@
 // the platform's store apply it.
 func (s *Settings) Queue() bool { return s.queue }
 
+// RetrySpacing reports whether retries after rejections are delayed. Only VMs on the
+// platform's store delay them.
+func (s *Settings) RetrySpacing() bool { return s.retrySpacing }
+
 // Retention returns the least time that the log keeps a record.
 func (s *Settings) Retention() time.Duration { return s.retention }
 
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -73,6 +73,7 @@
 	})
 	r.object("retries", func(o *reader) {
 		spec.Retries = readAllowance(o)
+		spec.RetrySpacing = o.boolean("spacing")
 	})
 	r.object("placement", func(o *reader) {
 		spec.AssignsTargets = o.boolean("assignTargets")
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -56,6 +56,9 @@
 	open float64
 	// age is the time since the last evidence, maxAge at most.
 	age time.Duration
+	// rejectionRate is the share of requests, 0 to 1, that the target rejects; 0 where
+	// rejection rates are not used.
+	rejectionRate float64
 	// local is set where the target is in the data centre of this VM.
 	local bool
 	// trial is set where the weight of the target was raised because it is idle.
@@ -119,7 +122,7 @@
 		weight = repeatableCost
 	}
 	late := lateCost * c.lateProbability(p)
-	cost := weight*c.risk + (1-c.risk)*late
+	cost := weight*c.risk + (1-c.risk)*late + c.rejectionRate
 	if !c.local {
 		cost += remoteCost
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -78,6 +78,8 @@
 	Risks      riskSource
 	Observer   outcomeObserver
 	Reporter   outcomeReporter
+	// Rejections is nil where rejections by targets are neither used nor reported.
+	Rejections rejectionRates
 	Leaving    leavingMarker
 	RemoteLoad remoteLoad
 	// Assignment is nil if this VM prefers no targets.
@@ -146,13 +148,9 @@
 	if s.Random == nil {
 		s.Random = rand.Float64
 	}
-	outcomes := map[estimator.Outcome]metrics.Counter{}
-	for _, o := range estimator.Outcomes() {
-		outcomes[o] = metrics.NewCounter()
-	}
 
 	return &Placer{
-		outcomes:         outcomes,
+		outcomes:         newOutcomeCounters(s),
 		spec:             s,
 		open:             map[*Attempt]struct{}{},
 		openPerTarget:    map[estimator.Key]int{},
@@ -258,6 +256,8 @@
 			slots:  slotsOf(now, m),
 			open:   float64(p.openPerTarget[m.Key()] + p.spec.RemoteLoad.OpenRequests(m.Key())),
 			local:  t.DataCentre() == p.spec.DataCentre,
+
+			rejectionRate: p.rejectionRate(now, m.Key()),
 		})
 	}
 
@@ -318,6 +318,8 @@
 	Outcome estimator.Outcome
 	// Full is set where the target had no capacity for the request.
 	Full bool
+	// Shed is set where the target rejected the request, which it did not run.
+	Shed bool
 	// Leaving is set where the target stated that it is about to stop.
 	Leaving bool
 	// Pause is for how long the target asked this VM for no attempts; 0 where it did not.
@@ -356,6 +358,7 @@
 		p.spec.Observer.Observe(now, k, r.Outcome)
 		p.spec.Reporter.ReportOutcome(k, r.Outcome)
 	}
+	p.observeRejection(now, k, r)
 	p.reportNotices(now, k, r)
 }
 
