Limit a use to a share of the requests of a fleet

Cause: hedged requests need a limit without extra uses that holds in any window, also while reports are late or lost and VMs are killed.

--- a/internal/tallier/account.go
+++ b/internal/tallier/account.go
@@ -69,9 +69,12 @@
 	a := &account{
 		changed: now,
 	}
-	if l.window > 0 {
+	switch {
+	case l.isShare:
+		a.limiter = newShare(l, began)
+	case l.window > 0:
 		a.limiter = newWindow(l, began)
-	} else {
+	default:
 		a.limiter = newBucket(l, began, now, f)
 	}
 
@@ -86,22 +89,32 @@
 
 // use counts one use by this VM, if it is allowed.
 func (a *account) use(f fleet) Verdict {
-	left, part := a.limiter.remaining(f)
-	if left < 1 || part < 1 {
-		return Verdict{
-			retryAfter: min(max(a.limiter.refuse(f), minRetryAfter), maxRetryAfter),
-			basis: Basis{
-				left:  left,
-				part:  part,
-				heard: f.heard,
-				known: f.known,
-			},
-		}
+	if left, part := a.limiter.remaining(f); left < 1 || part < 1 {
+		return a.refusal(f, left, part)
 	}
+	a.addUse()
+
+	return Verdict{
+		granted: true,
+	}
+}
+
+// addUse counts one use by this VM.
+func (a *account) addUse() {
 	a.total.used++
 	a.limiter.addOwn(0, 1)
+}
 
+// refusal returns the verdict on a use that is not allowed. The limiter may count it as one
+// that will be requested again.
+func (a *account) refusal(f fleet, left, part float64) Verdict {
 	return Verdict{
-		granted: true,
+		retryAfter: min(max(a.limiter.refuse(f), minRetryAfter), maxRetryAfter),
+		basis: Basis{
+			left:  left,
+			part:  part,
+			heard: f.heard,
+			known: f.known,
+		},
 	}
 }
--- a/internal/tallier/tallier.go
+++ b/internal/tallier/tallier.go
@@ -45,6 +45,10 @@
 	perRequest float64
 	extra      float64
 	window     time.Duration
+	// isShare is set where each VM also keeps the ratio of its own requests, and seed
+	// then differs between VMs.
+	isShare bool
+	seed    uint32
 }
 
 // NewRate returns a limit of a rate per second and a burst.
