Hedge requests that take long

Cause: a request to a slow target takes as long as the target, although another one could answer it; operators ask for a second attempt within a limit. Change: the filter hedge makes a second attempt at another target after the 95th percentile of the route's latency; the first good response wins and the other attempt is canceled with ErrOvertaken, which is no evidence about its target unless the response was overdue. Each attempt runs on a copy of the exchange. The setting hedging.share adds the filter. The filter repeat counts both attempts.

--- a/internal/assembler/store_chain.go
+++ b/internal/assembler/store_chain.go
@@ -58,7 +58,7 @@
 // chain returns the filter chain; the order of the filters is the order of their
 // decisions.
 func (v *StoreVM) chain() *handler.Chain {
-	return handler.NewChain(
+	filters := []handler.Filter{
 		filterer.NewTraceRequest(v.tracer),
 		filterer.NewJournal(v.logger, v.dialect.RequestID(), v.timers),
 		filterer.NewCount(v.meter, v.timers),
@@ -72,11 +72,15 @@
 		filterer.NewQuarantine(v.quarantine),
 		filterer.NewAdmit(&sharedRates{tallier: v.tallier, timers: v.timers}, v.tracer),
 		filterer.NewRepeat(v.retries, v.timers),
+	}
+	filters = append(filters, v.hedgeFilters()...)
+
+	return handler.NewChain(append(filters,
 		filterer.NewCrashWatch(v.quarantine, v.transport),
 		filterer.NewPlace(v.placer, v.meter, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
 		filterer.NewForward(v.transport),
-	)
+	)...)
 }
 
 // minConnections is the number of connections to a target that a VM may always hold,
--- a/internal/assembler/store_limits.go
+++ b/internal/assembler/store_limits.go
@@ -16,6 +16,9 @@
 type limitTable struct {
 	manifest *manifester.Manifest
 	limits   map[tallier.Account]tallier.Limit
+	// latencies holds the limit of the accounts of latencies by the block of a route; empty
+	// without hedging.
+	latencies map[tallier.Account]tallier.Limit
 }
 
 // limits looks up the limits that the configuration in force sets for accounts. It is
@@ -24,6 +27,8 @@
 	source *adopter.Adopter
 	// retries limits the retries of each service.
 	retries retrier.Allowance
+	// hedges limits the hedges of each service; nil without hedging.
+	hedges *tallier.Limit
 	// table is rebuilt when the manifest has changed; never nil.
 	table atomic.Pointer[limitTable]
 }
@@ -47,6 +52,9 @@
 		l.table.Store(t)
 	}
 	limit, ok := t.limits[a]
+	if !ok {
+		limit, ok = t.latencies[a.Block()]
+	}
 
 	return limit, ok
 }
@@ -66,6 +74,7 @@
 		t.limits[tallier.FailureAccount(s.Name())] = tallier.NewRatio(1, 0, l.retries.Window())
 		t.limits[tallier.RetryAccount(s.Name())] = tallier.NewRatio(l.retries.PerRequest(), l.retries.Extra(), l.retries.Window())
 	}
+	l.addHedging(t)
 
 	return t
 }
--- a/internal/assembler/store_operators.go
+++ b/internal/assembler/store_operators.go
@@ -22,6 +22,9 @@
 	v.placer.Each(v.meter.RegisterCounter)
 	v.retries.Each(v.meter.RegisterCounter)
 	v.store.Each(v.meter.RegisterCounter)
+	if v.hedger != nil {
+		v.hedger.Each(v.meter.RegisterCounter)
+	}
 }
 
 // operatorHandler returns the handler of the paths for operators and the load
@@ -47,6 +50,7 @@
 func (v *StoreVM) removeStale(now timer.Instant) {
 	v.estimator.Forget(now)
 	v.registrar.Forget(now)
+	v.forgetHedging()
 	v.meter.Keep(func(route string) bool {
 		_, ok := v.adopter.Manifest().Route(route)
 
--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -14,6 +14,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
 	"github.com/lagoonkeel/lagoonkeel/internal/gossiper"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/hedger"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
 	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
@@ -40,7 +41,9 @@
 	watcher   *watcher.Watcher
 	placer    *placer.Placer
 	retries   *retrier.SharedRetrier
-	gossiper  *gossiper.Gossiper
+	// hedger is nil where no request is hedged.
+	hedger   *hedger.Hedger
+	gossiper *gossiper.Gossiper
 	// quarantine refuses requests that crash their targets.
 	quarantine *quarantiner.Quarantiner
 }
@@ -69,9 +72,10 @@
 		names:  v.registrar,
 		logger: l,
 	})
-	v.tallier = tallier.New(v.timers.Now(), newLimits(v.adopter, s.Retries()))
+	v.tallier = tallier.New(v.timers.Now(), newLimits(v.adopter, s.Retries()).withHedging(s))
 	v.watcher = watcher.New(v.tallier)
 	v.retries = retrier.NewSharedRetrier(v.tallier)
+	v.hedger = newHedger(v)
 	reports, err := (&net.ListenConfig{}).ListenPacket(context.Background(), "udp4", s.Peers())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening on %s; is another process using it?", s.Peers())
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -47,6 +47,9 @@
 	readyPath string
 	// retries is the platform's allowance of retries for each service.
 	retries retrier.Allowance
+	// hedgeShare is the maximum of hedges as a share of the requests of a service, over the
+	// fleet; 0 means that no request is hedged.
+	hedgeShare float64
 	// retention is the least time that the log keeps a record; above 0.
 	retention time.Duration
 	// maxBody is the largest size of a request's body in bytes.
@@ -118,6 +121,8 @@
 	Store      string
 	ReadyPath  string
 	Retries    retrier.Allowance
+	// HedgeShare is optional.
+	HedgeShare float64
 	Metrics    string
 	// Retention is optional; 0 means DefaultRetention.
 	Retention time.Duration
@@ -146,6 +151,7 @@
 		store:      s.Store,
 		readyPath:  s.ReadyPath,
 		retries:    s.Retries,
+		hedgeShare: s.HedgeShare,
 		metrics:    s.Metrics,
 		retention:  cmp.Or(s.Retention, DefaultRetention),
 		maxBody:    s.MaxBody,
@@ -201,6 +207,10 @@
 // platform's store apply it.
 func (s *Settings) Retries() retrier.Allowance { return s.retries }
 
+// HedgeShare returns the maximum of hedges as a share of the requests of a service, over the
+// fleet; 0 means that no request is hedged. Only VMs on the platform's store apply it.
+func (s *Settings) HedgeShare() float64 { return s.hedgeShare }
+
 // Retention returns the least time that the log keeps a record.
 func (s *Settings) Retention() time.Duration { return s.retention }
 
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -33,6 +33,8 @@
 	// maxExtra and maxWindowSeconds bound the settings of the retry allowance.
 	maxExtra         = 1_000_000
 	maxWindowSeconds = 3600
+	// maxHedgeShare bounds the setting of hedged requests.
+	maxHedgeShare = 0.2
 )
 
 // Settings decodes a settings document. The error is manifester.Faults.
@@ -70,6 +72,9 @@
 	r.object("retries", func(o *reader) {
 		spec.Retries = readAllowance(o)
 	})
+	r.object("hedging", func(o *reader) {
+		spec.HedgeShare = o.number("share", 0, maxHedgeShare)
+	})
 	r.object("traces", func(o *reader) {
 		spec.Tracing = readTracing(o)
 	})
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -115,7 +115,7 @@
 	p.print("  because: %s\n", reason(l))
 	e.writeVMState(p, l.vm, began)
 	for i, a := range attempts(l.get("attempts")) {
-		p.print("  attempt %d: target %s: %s after %s; probability of failure when it was chosen: %s%s\n", i+1, a.target, a.result, a.took, a.risk, a.trialNote())
+		p.print("  attempt %d: target %s: %s after %s; probability of failure when it was chosen: %s%s\n", i+1, a.target, a.result, a.took, a.risk, a.note())
 		e.writeTargetState(p, l.vm, a.target, began)
 	}
 }
--- a/internal/explainer/reason.go
+++ b/internal/explainer/reason.go
@@ -66,23 +66,31 @@
 	risk   string
 	// trial is set if the target was idle and its weight was raised for a trial.
 	trial bool
+	// hedge is set if the attempt was made while an earlier one was in flight.
+	hedge bool
 }
 
-// trialNote returns the note that the attempt was a trial, or "".
-func (a attempt) trialNote() string {
+// note returns the note that the attempt was a trial, a hedge or both, or "".
+func (a attempt) note() string {
+	text := ""
 	if a.trial {
-		return "; trial of an idle target"
+		text += "; trial of an idle target"
+	}
+	if a.hedge {
+		text += "; hedge, sent while an earlier attempt was in flight"
 	}
 
-	return ""
+	return text
 }
 
 // attempts parses the attempts of a line. Each has the form
-// target:result:time:risk=number, followed by :trial if it was a trial.
+// target:result:time:risk=number, followed by :trial if it was a trial, and
+// then by :hedge if it was a hedge.
 func attempts(text string) []attempt {
 	var list []attempt
 	for _, f := range strings.Fields(text) {
-		text, trial := strings.CutSuffix(f, ":trial")
+		text, hedge := strings.CutSuffix(f, ":hedge")
+		text, trial := strings.CutSuffix(text, ":trial")
 		parts := strings.Split(text, ":")
 		if len(parts) != 4 { //nolint:mnd // The four parts of the form above.
 			list = append(list, attempt{target: f, result: "unreadable", took: "-", risk: "-"})
@@ -95,6 +103,7 @@
 			took:   parts[2],
 			risk:   strings.TrimPrefix(parts[3], "risk="),
 			trial:  trial,
+			hedge:  hedge,
 		})
 	}
 
--- a/internal/filterer/journal.go
+++ b/internal/filterer/journal.go
@@ -124,7 +124,7 @@
 
 // formatHistory formats attempts as target:result:12ms:risk=0.10. It appends
 // :trial to those whose target was preferred because it had received no recent
-// requests.
+// requests, and then :hedge to those made while an earlier one was in flight.
 func formatHistory(history []handler.AttemptRecord) string {
 	parts := make([]string, len(history))
 	for i, r := range history {
@@ -137,6 +137,9 @@
 		if r.Trial() {
 			parts[i] += ":trial"
 		}
+		if r.Hedge() {
+			parts[i] += ":hedge"
+		}
 	}
 
 	return strings.Join(parts, " ")
--- a/internal/filterer/place.go
+++ b/internal/filterer/place.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
@@ -84,6 +86,7 @@
 	err := next.Serve(ctx, x)
 	if last := x.Attempt(); last != nil && last != previous {
 		result = placementResult(last)
+		result.Overtaken = last.Fault() == handler.FaultCanceled && errors.Is(context.Cause(ctx), handler.ErrOvertaken)
 	}
 
 	return err
--- a/internal/filterer/repeat.go
+++ b/internal/filterer/repeat.go
@@ -47,28 +47,29 @@
 	possibleRuns := 0
 	var response *handler.Response
 	var earlierErr error
-	for attempts := 1; ; attempts++ {
-		previous := x.Attempt()
+	for {
+		previous, known := x.Attempt(), len(x.History())
 		err := next.Serve(ctx, x)
 		a := x.Attempt()
+		possibleRuns += countPossibleRuns(x.History()[known:])
 		if a == previous { // No attempt was made.
 			return combineAttempts(x, errors.CombineErrors(earlierErr, err), possibleRuns > 0, response)
 		}
-		earlierRuns := possibleRuns
+		otherRuns := possibleRuns
 		if a.MayHaveRun() {
-			possibleRuns++
+			otherRuns--
 		}
 		x.SetStop(r.policy.DecideRetry(r.clock.Now(), retrier.RetryState{
 			Service:    service,
 			Deadline:   x.Deadline(),
 			Idempotent: x.Idempotent(),
-			Attempts:   attempts,
+			Attempts:   len(x.History()),
 			MayHaveRun: possibleRuns,
 			Limit:      x.Route().Attempts(),
 			Last:       a,
 		}))
 		if x.Stop() != handler.StopNone {
-			return combineAttempts(x, err, earlierRuns > 0, response)
+			return combineAttempts(x, err, otherRuns > 0, response)
 		}
 		if a.Response() != nil {
 			response = a.Response()
@@ -76,3 +77,16 @@
 		earlierErr = err
 	}
 }
+
+// countPossibleRuns returns the number of attempts that may have run the request. The filter
+// Hedge makes up to two at once.
+func countPossibleRuns(attempts []handler.AttemptRecord) int {
+	n := 0
+	for _, r := range attempts {
+		if r.Attempt().MayHaveRun() {
+			n++
+		}
+	}
+
+	return n
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -98,7 +98,7 @@
 		return unsent(target, fault)
 	}
 	a := t.exchange(ctx, c, x)
-	if a.Fault() != handler.FaultNone && a.MayHaveRun() {
+	if a.Fault() != handler.FaultNone && a.MayHaveRun() && !errors.Is(context.Cause(ctx), handler.ErrOvertaken) {
 		// The cause of the failure may have broken the idle connections too.
 		t.pool.closeIdle(target.Address())
 	}
--- a/internal/handler/attempt.go
+++ b/internal/handler/attempt.go
@@ -48,8 +48,9 @@
 	// FaultNoMemory means that this VM had no memory left for the response. It says
 	// nothing about the target's health.
 	FaultNoMemory Fault = "no-memory"
-	// FaultCanceled means that the caller disconnected, or that the deadline
-	// passed before any byte of the request was sent.
+	// FaultCanceled means that the caller disconnected, that the deadline passed
+	// before any byte of the request was sent, or that the attempt was aborted with
+	// ErrOvertaken. It says nothing about the target's health.
 	FaultCanceled Fault = "canceled"
 )
 
@@ -57,6 +58,10 @@
 // aborted because its target is unlikely to respond.
 var ErrAbandoned = errors.New("the attempt was aborted: the target is unlikely to respond")
 
+// ErrOvertaken is the cancellation cause of the context of an attempt that is aborted
+// because another attempt at the same request got a good response first.
+var ErrOvertaken = errors.New("the attempt was aborted: another one got a response first")
+
 // Attempt is the result of sending a request to one target.
 type Attempt struct {
 	target *manifester.Target
--- a/internal/handler/exchange.go
+++ b/internal/handler/exchange.go
@@ -39,6 +39,11 @@
 	// received no recent requests.
 	risk  float64
 	trial bool
+	// hedge is set in the copy of an exchange on which a hedge runs.
+	hedge bool
+	// placement is the target of the attempt on a copy of an exchange; nil on the
+	// original.
+	placement *placement
 	// heldBytes is the memory reserved for the bodies of the exchange, which the front
 	// end releases once the response was written.
 	heldBytes int64
@@ -131,6 +136,7 @@
 		attempt: a,
 		risk:    x.risk,
 		trial:   x.trial,
+		hedge:   x.hedge,
 	})
 }
 
@@ -140,6 +146,9 @@
 func (x *Exchange) SetRiskAndTrial(risk float64, trial bool) {
 	x.risk = risk
 	x.trial = trial
+	if x.placement != nil {
+		x.placement.set(x)
+	}
 }
 
 // History returns the completed attempts in order.
@@ -160,6 +169,8 @@
 	// trial is set if the target was preferred because it had received no recent
 	// requests.
 	trial bool
+	// hedge is set if the attempt was made while an earlier one was in flight.
+	hedge bool
 }
 
 // Attempt returns the attempt.
@@ -173,6 +184,9 @@
 // recent requests.
 func (r AttemptRecord) Trial() bool { return r.trial }
 
+// Hedge reports whether the attempt was made while an earlier one was in flight.
+func (r AttemptRecord) Hedge() bool { return r.hedge }
+
 // Hold adds to the bytes reserved for the bodies of the exchange.
 func (x *Exchange) Hold(n int64) { x.heldBytes += n }
 
--- a/internal/handler/message.go
+++ b/internal/handler/message.go
@@ -133,6 +133,14 @@
 // Body returns the body.
 func (r *Request) Body() []byte { return r.body }
 
+// Clone returns a copy whose header fields may be changed; the body is shared.
+func (r *Request) Clone() *Request {
+	c := *r
+	c.fields.list = append([]Field(nil), r.fields.list...)
+
+	return &c
+}
+
 // Response is a complete response.
 type Response struct {
 	status int
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -299,6 +299,9 @@
 	Leaving bool
 	// Pause is for how long the target asked this VM for no attempts; 0 where it did not.
 	Pause time.Duration
+	// Overtaken is set where the attempt was aborted because another attempt at the same
+	// request got a response. It is evidence only where the response was overdue.
+	Overtaken bool
 }
 
 // End closes the attempt and reports its outcome, unless checkOverdue has reported the
@@ -324,6 +327,9 @@
 	case r.Outcome == estimator.OutcomeFailed && l.processed(took):
 		r.Outcome = estimator.OutcomeErred
 	}
+	if r.Overtaken && !now.Before(a.overdue) {
+		r.Outcome = estimator.OutcomeSilent
+	}
 	alreadyReported := a.reported && r.Outcome == estimator.OutcomeSilent
 	p.mu.Unlock()
 	if c, ok := p.outcomes[r.Outcome]; ok {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -118,6 +118,14 @@
 	return ok && s.until.After(q.clock.Now())
 }
 
+// Suspected reports whether a target crashed while it ran the request, and the request has
+// not been cleared.
+func (q *Quarantiner) Suspected(f Fingerprint) bool {
+	_, ok := (*q.suspects.Load())[f]
+
+	return ok
+}
+
 // RecordDeath records that the target crashed while the request was in flight, and sends
 // the mark to the other VMs before it returns.
 func (q *Quarantiner) RecordDeath(ctx context.Context, f Fingerprint, target string) {
--- a/internal/retrier/shared_retrier.go
+++ b/internal/retrier/shared_retrier.go
@@ -75,16 +75,12 @@
 // budget, unless the attempt did not reach its target. It returns handler.StopNone
 // for a retry, and otherwise the reason why none follows.
 func (s *SharedRetrier) DecideRetry(now timer.Instant, r RetryState) handler.StopReason {
-	limit := maxAttempts
-	if r.Limit > 0 {
-		limit = min(limit, r.Limit)
-	}
 	switch {
 	case !retryable(true, r.Last):
 		return handler.StopFinal
 	case !retryable(r.Idempotent, r.Last):
 		return handler.StopMayHaveRun
-	case r.Attempts >= maxTotalAttempts || r.MayHaveRun >= limit:
+	case Exhausted(r.Attempts, r.MayHaveRun, r.Limit):
 		return handler.StopAttempts
 	case r.Deadline.Sub(now) < minSharedTimeLeft:
 		return handler.StopTime
