Send no hedges while a service is slow everywhere

Cause: the 80th percentile of 20 s rises with the slow responses themselves: all targets three times as slow got 2 hedges from 3 to 6 s and 39 from 6 to 15 s, as many as before.

--- a/internal/hedger/latency.go
+++ b/internal/hedger/latency.go
@@ -58,6 +58,11 @@
 	median     time.Duration
 	// usable is set where there are enough samples and the service is not slow everywhere.
 	usable bool
+	// slowSince is when the service became slow everywhere; 0 while it is not. It stays so for
+	// LatencyWindow at most, unless the recent median falls to the bound, which is the
+	// slowQuantile of before: slow responses raise that quantile after a few seconds.
+	slowSince timer.Instant
+	bound     time.Duration
 }
 
 // latency holds the latest estimate of a route.
@@ -81,29 +86,42 @@
 
 // estimate returns an estimate that is at most updateInterval old.
 func (l *latency) estimate(now timer.Instant, c counts) *estimate {
-	if e := l.latest.Load(); now.Sub(e.at) < updateInterval {
-		return e
+	last := l.latest.Load()
+	if now.Sub(last.at) < updateInterval {
+		return last
 	}
-	e := newEstimate(c.Requested(now, l.accounts, LatencyWindow), c.Requested(now, l.accounts, recentWindow))
-	e.at = now
+	e := newEstimate(now, c.Requested(now, l.accounts, LatencyWindow), c.Requested(now, l.accounts, recentWindow), last)
 	l.latest.Store(e)
 
 	return e
 }
 
-// newEstimate returns the estimate from the counts of each bucket.
-func newEstimate(all, recent []float64) *estimate {
+// newEstimate returns the estimate from the counts of each bucket and the estimate before.
+func newEstimate(now timer.Instant, all, recent []float64, last *estimate) *estimate {
 	total, lately := sum(all), sum(recent)
+	e := &estimate{
+		at: now,
+	}
 	if total < minSamples {
-		return &estimate{}
+		return e
+	}
+	e.hedgeAfter = quantile(all, total, hedgeQuantile)
+	e.median = quantile(all, total, median)
+	e.bound = quantile(all, total, slowQuantile)
+	if last.slowSince != 0 && now.Sub(last.slowSince) < LatencyWindow {
+		e.slowSince = last.slowSince
+		e.bound = min(e.bound, last.bound)
 	}
 	average := total * recentWindow.Seconds() / LatencyWindow.Seconds()
-
-	return &estimate{
-		hedgeAfter: quantile(all, total, hedgeQuantile),
-		median:     quantile(all, total, median),
-		usable:     lately >= stalledFraction*average && quantile(recent, lately, median) <= quantile(all, total, slowQuantile),
+	e.usable = lately >= stalledFraction*average && quantile(recent, lately, median) <= e.bound
+	switch {
+	case e.usable:
+		e.slowSince = 0
+	case e.slowSince == 0:
+		e.slowSince = now
 	}
+
+	return e
 }
 
 func sum(counts []float64) float64 {
