--- a/internal/assembler/store_hedging.go
+++ b/internal/assembler/store_hedging.go
@@ -1,18 +1,22 @@
 package assembler
 
 import (
+	"cmp"
+
 	"github.com/lagoonkeel/lagoonkeel/internal/configurer"
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/hasher"
 	"github.com/lagoonkeel/lagoonkeel/internal/hedger"
+	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 )
 
 // withHedging sets the limit of hedges, if the settings allow any, and returns the limits.
 func (l *limits) withHedging(s *configurer.Settings) *limits {
 	if s.HedgeShare() > 0 {
-		limit := tallier.NewShare(s.HedgeShare(), s.Retries().Window(), hasher.Sum("hedges", s.ID()))
+		window := cmp.Or(s.Retries().Window(), retrier.DefaultWindow)
+		limit := tallier.NewShare(s.HedgeShare(), window, hasher.Sum("hedges", s.ID()))
 		l.hedges = &limit
 	}
 
--- a/internal/filterer/hedge_test.go
+++ b/internal/filterer/hedge_test.go
@@ -18,6 +18,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/quarantiner"
 	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
+	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
@@ -311,3 +312,51 @@
 type failing struct{}
 
 func (failing) Serve(context.Context, *handler.Exchange) error { return errFailing }
+
+// TestRepeatCountsBoth checks that both attempts of a hedged request count as ones that may
+// have run it: a retry after them must not exceed the attempts that the route allows.
+func TestRepeatCountsBoth(t *testing.T) {
+	var states []retrier.RetryState
+	policy := &recordingRepeat{states: &states}
+	x := newExchange(true, 0)
+	err := filterer.NewRepeat(policy, timer.NewManual(0)).Handle(t.Context(), x, bothReset{})
+	if got := result(x, err); got != "unknown upstream-failed" {
+		t.Error(got)
+	}
+	if len(states) != 1 || states[0].Attempts != 2 || states[0].MayHaveRun != 2 || states[0].Last.Target().Name() != "a" {
+		t.Errorf("the policy was asked with %+v", states)
+	}
+}
+
+// recordingRepeat allows no retry and records what it was asked.
+type recordingRepeat struct {
+	states *[]retrier.RetryState
+}
+
+func (recordingRepeat) Begin(timer.Instant, string) {}
+
+func (r recordingRepeat) DecideRetry(_ timer.Instant, s retrier.RetryState) handler.StopReason {
+	*r.states = append(*r.states, s)
+
+	return handler.StopAttempts
+}
+
+// bothReset is the end of a chain whose hedged attempts are both reset by their targets.
+type bothReset struct{}
+
+func (bothReset) Serve(_ context.Context, x *handler.Exchange) error {
+	var forks []*handler.Fork
+	for _, name := range []string{"a", "b"} {
+		f := x.Fork(forks...)
+		forks = append(forks, f)
+		target := manifester.NewTarget(manifester.TargetSpec{Name: name})
+		f.Exchange().SetTarget(target)
+		f.Exchange().SetAttempt(handler.NewFailedAttempt(target, handler.FaultReset, handler.NewUnknownOutcome(handler.CodeUpstream, "reset")))
+	}
+	for _, f := range forks {
+		x.AddEnded(f)
+	}
+	x.Adopt(forks[0])
+
+	return x.Attempt().Err()
+}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -68,7 +68,7 @@
 // Events of requests.
 var (
 	RequestServed   = Event{number: 600, level: LevelInfo, name: "request-served", meaning: "A target answered at the first attempt; one request in sixteen is logged."}
-	RequestRepeated = Event{number: 601, level: LevelInfo, name: "request-repeated", meaning: "A target answered after earlier attempts failed."}
+	RequestRepeated = Event{number: 601, level: LevelInfo, name: "request-repeated", meaning: "A target answered after earlier attempts failed, or one of two that ran at once."}
 	RequestFailed   = Event{number: 602, level: LevelWarn, name: "request-failed", meaning: "A target's response with a failure status was passed to the caller; stopped tells why the request was not retried."}
 	RequestRefused  = Event{number: 603, level: LevelWarn, name: "request-refused", meaning: "The VM refused the request instead of passing on a target's response; code, outcome, reason and basis tell why."}
 	RequestLeft     = Event{number: 604, level: LevelInfo, name: "request-left", meaning: "The caller closed its connection before it got the response."}
