Leave room for the variation of a small share of hedges

Cause: each VM rounds its share by itself, so that the total of the fleet varies; a fleet whose share is 69 hedges sent 66 in its worst window.

--- a/internal/tallier/share.go
+++ b/internal/tallier/share.go
@@ -1,8 +1,8 @@
 package tallier
 
 import (
-	"encoding/binary"
-	"hash/fnv"
+	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -16,6 +16,11 @@
 	// offsetWindows is the number of windows after which a VM draws a new offset. Few VMs
 	// draw one within any single window.
 	offsetWindows = 8
+	// slotExcess is the length of the counted slots as a multiple of the window.
+	slotExcess = 1 + 1.0/slotsPerWindow
+	// deviations is the number of standard deviations by which the fleet's total, of shares
+	// that each VM rounds by itself, may exceed its mean.
+	deviations = 3
 )
 
 // share is the limiter of a share of the requests, without extra uses. A use needs both
@@ -26,8 +31,10 @@
 	// fleet holds what all VMs requested and used, and own what this VM did.
 	fleet *window
 	own   *window
-	seed  uint32
-	now   timer.Instant
+	// allowed is the share of the requests that the limit allows.
+	allowed float64
+	seed    uint32
+	now     timer.Instant
 }
 
 func newShare(l Limit, began timer.Instant) *share {
@@ -41,10 +48,11 @@
 }
 
 func (s *share) setLimit(l Limit) {
+	s.allowed = l.perRequest
+	s.seed = l.seed
 	l.perRequest *= usedShare
 	s.fleet.setLimit(l)
 	s.own.setLimit(l)
-	s.seed = l.seed
 }
 
 func (s *share) advance(now timer.Instant, f fleet) {
@@ -67,9 +75,28 @@
 		return 0, 0
 	}
 
+	s.own.perRequest = s.allowed * s.ownFraction(f)
+
 	return s.fleet.left(f), s.own.left(fleet{heard: 1, known: 1}) + s.offset()
 }
 
+// ownFraction returns the fraction of the share that each VM uses of its own requests. Since
+// each VM rounds by itself, the total of the fleet varies, by a variance of a quarter for each
+// VM or of its mean if that is less. The fraction leaves room for that, and is small where
+// the share of the whole fleet is a few uses.
+func (s *share) ownFraction(f fleet) float64 {
+	requested, _ := s.fleet.recent(s.fleet.length)
+	allowed := s.allowed * (requested/slotExcess - math.Sqrt(float64(f.known)*requested))
+	if allowed <= 0 {
+		return 0
+	}
+	byVMs := allowed - deviations*math.Sqrt(float64(f.known))/2
+	// The mean m for which m + deviations * sqrt(m) is what is allowed.
+	root := (math.Sqrt(deviations*deviations+4*allowed) - deviations) / 2 //nolint:mnd // Of the quadratic equation.
+
+	return min(usedShare, max(byVMs, root*root)/(s.allowed*requested))
+}
+
 // offset returns a number from 0 to below 1, evenly distributed over the VMs and times,
 // that is added to the share of a VM's own requests before it is rounded down. Otherwise a
 // VM whose share of a window is below 1 could never use anything.
@@ -82,24 +109,7 @@
 
 // fraction returns a number from 0 to below 1 that depends on the seed and the number.
 func fraction(seed uint32, n int64) float64 {
-	h := fnv.New64a()
-	var b [12]byte
-	binary.BigEndian.PutUint32(b[:], seed)
-	binary.BigEndian.PutUint64(b[4:], uint64(n)) //nolint:gosec // Only the bits matter.
-	_, _ = h.Write(b[:])                         // Writing to a hash never fails.
-
-	return float64(mix(h.Sum64())>>11) / (1 << 53) //nolint:mnd // The 53 bits of a float's mantissa.
-}
-
-// mix spreads every bit of x over all bits; the high bits of FNV-1a depend little on the
-// last bytes. It is the finalizer of MurmurHash3.
-func mix(x uint64) uint64 {
-	x ^= x >> 33            //nolint:mnd // Constants of the finalizer.
-	x *= 0xff51afd7ed558ccd //nolint:mnd // Constants of the finalizer.
-	x ^= x >> 33            //nolint:mnd // Constants of the finalizer.
-	x *= 0xc4ceb9fe1a85ec53 //nolint:mnd // Constants of the finalizer.
-
-	return x ^ x>>33 //nolint:mnd // Constants of the finalizer.
+	return rand.New(rand.NewPCG(uint64(seed), uint64(n))).Float64() //nolint:gosec // The same on each call; not a secret.
 }
 
 func (*share) refuse(fleet) time.Duration { return windowRetryAfter }
--- a/internal/tallier/share_test.go
+++ b/internal/tallier/share_test.go
@@ -206,7 +206,12 @@
 			f.run(6900, 0.5, 2*time.Second)
 			f.run(69, 1, 15*time.Second)
 		}},
-		{"little load", func(f *hedgingFleet) { f.run(138, 0.3, 60*time.Second) }},
+		{"little load, and every request wants a hedge after a quiet time", func(f *hedgingFleet) {
+			for range 4 {
+				f.run(138, 0, 15*time.Second)
+				f.run(138, 1, 3*time.Second)
+			}
+		}},
 	} {
 		for _, share := range []float64{0.01, 0.05} {
 			f := newHedgingFleet(share)
