--- a/internal/tallier/share.go
+++ b/internal/tallier/share.go
@@ -92,7 +92,7 @@
 	}
 	byVMs := allowed - deviations*math.Sqrt(float64(f.known))/2
 	// The mean m for which m + deviations * sqrt(m) is what is allowed.
-	root := (math.Sqrt(deviations*deviations+4*allowed) - deviations) / 2 //nolint:mnd // Of the quadratic equation.
+	root := (math.Sqrt(deviations*deviations+4*allowed) - deviations) / 2
 
 	return min(usedShare, max(byVMs, root*root)/(s.allowed*requested))
 }
