--- a/internal/assembler/store_chain.go
+++ b/internal/assembler/store_chain.go
@@ -85,9 +85,11 @@
 		filters = append(filters, filterer.NewQueue(v.queue, filterer.NewByPriority(v.timers), v.timers))
 	}
 
+	filters = append(filters, v.repeat())
+	filters = append(filters, v.hedgeFilters()...)
+
 	return handler.NewChain(append(
 		filters,
-		v.repeat(),
 		filterer.NewCrashWatch(v.quarantine, v.transport),
 		filterer.NewPlace(v.placer, v.meter, v.timers),
 		filterer.NewTraceAttempt(v.tracer),
--- a/internal/assembler/store_limits.go
+++ b/internal/assembler/store_limits.go
@@ -17,6 +17,9 @@
 type limitTable struct {
 	manifest *manifester.Manifest
 	limits   map[tallier.Account]tallier.Limit
+	// latencies holds the limit of the accounts of latencies by the block of a route; empty
+	// without hedging.
+	latencies map[tallier.Account]tallier.Limit
 }
 
 // limits looks up the limits that the configuration in force sets for accounts. It is
@@ -27,6 +30,8 @@
 	retries retrier.Allowance
 	// spacing is set where the attempts at services and those rejected are counted.
 	spacing bool
+	// hedges limits the hedges of each service; nil without hedging.
+	hedges *tallier.Limit
 	// table is rebuilt when the manifest has changed; never nil.
 	table atomic.Pointer[limitTable]
 }
@@ -51,6 +56,9 @@
 		l.table.Store(t)
 	}
 	limit, ok := t.limits[a]
+	if !ok {
+		limit, ok = t.latencies[a.Block()]
+	}
 
 	return limit, ok
 }
@@ -73,6 +81,7 @@
 			t.limits[tallier.ShedAccount(s.Name())] = tallier.NewRatio(1, 0, watcher.PressureWindow)
 		}
 	}
+	l.addHedging(t)
 
 	return t
 }
--- a/internal/assembler/store_operators.go
+++ b/internal/assembler/store_operators.go
@@ -24,6 +24,9 @@
 	v.pacer.Each(v.meter.RegisterCounter)
 	v.registerRetries()
 	v.store.Each(v.meter.RegisterCounter)
+	if v.hedger != nil {
+		v.hedger.Each(v.meter.RegisterCounter)
+	}
 }
 
 // operatorHandler returns the handler of the paths for operators and the load
@@ -53,6 +56,7 @@
 	if v.spacing != nil {
 		v.spacing.rejections.Forget(now)
 	}
+	v.forgetHedging()
 	v.meter.Keep(func(route string) bool {
 		_, ok := v.adopter.Manifest().Route(route)
 
--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -16,6 +16,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
 	"github.com/lagoonkeel/lagoonkeel/internal/gossiper"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/hedger"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/pacer"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
@@ -52,7 +53,9 @@
 	queue   *queuer.Queuer
 	retries *retrier.SharedRetrier
 	// spacing is nil without the setting that delays retries after rejections.
-	spacing  *spacing
+	spacing *spacing
+	// hedger is nil where no request is hedged.
+	hedger   *hedger.Hedger
 	gossiper *gossiper.Gossiper
 	// quarantine refuses requests that crash their targets.
 	quarantine *quarantiner.Quarantiner
@@ -83,12 +86,13 @@
 		names:  v.registrar,
 		logger: l,
 	})
-	v.tallier = tallier.New(v.timers.Now(), newLimits(v.adopter, s.Retries(), s.RetrySpacing()))
+	v.tallier = tallier.New(v.timers.Now(), newLimits(v.adopter, s.Retries(), s.RetrySpacing()).withHedging(s))
 	v.watcher = watcher.New(v.tallier)
 	v.retries = retrier.NewSharedRetrier(v.tallier)
 	if s.RetrySpacing() {
 		v.spacing = newSpacing(v.tallier, s.Retries())
 	}
+	v.hedger = newHedger(v)
 	reports, err := (&net.ListenConfig{}).ListenPacket(context.Background(), "udp4", s.Peers())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening on %s; is another process using it?", s.Peers())
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -51,6 +51,9 @@
 	queue bool
 	// retrySpacing is set where retries after rejections are delayed.
 	retrySpacing bool
+	// hedgeShare is the maximum of hedges as a share of the requests of a service, over the
+	// fleet; 0 means that no request is hedged.
+	hedgeShare float64
 	// retention is the least time that the log keeps a record; above 0.
 	retention time.Duration
 	// maxBody is the largest size of a request's body in bytes.
@@ -128,6 +131,8 @@
 	ReadyPath  string
 	Retries    retrier.Allowance
 	Queue      bool
+	// HedgeShare is optional.
+	HedgeShare float64
 	Metrics    string
 	// RetrySpacing is optional.
 	RetrySpacing bool
@@ -162,6 +167,7 @@
 		store:      s.Store,
 		readyPath:  s.ReadyPath,
 		retries:    s.Retries,
+		hedgeShare: s.HedgeShare,
 		metrics:    s.Metrics,
 		retention:  cmp.Or(s.Retention, DefaultRetention),
 		maxBody:    s.MaxBody,
@@ -230,6 +236,10 @@
 // platform's store delay them.
 func (s *Settings) RetrySpacing() bool { return s.retrySpacing }
 
+// HedgeShare returns the maximum of hedges as a share of the requests of a service, over the
+// fleet; 0 means that no request is hedged. Only VMs on the platform's store apply it.
+func (s *Settings) HedgeShare() float64 { return s.hedgeShare }
+
 // Retention returns the least time that the log keeps a record.
 func (s *Settings) Retention() time.Duration { return s.retention }
 
--- a/internal/decoder/settings.go
+++ b/internal/decoder/settings.go
@@ -36,6 +36,8 @@
 	// maxRelayedRecordKB bounds the setting of the records that are relayed in pieces.
 	maxRelayedRecordKB = 64
 	bytesPerKB         = 1 << 10
+	// maxHedgeShare bounds the setting of hedged requests.
+	maxHedgeShare = 0.2
 )
 
 // Settings decodes a settings document. The error is manifester.Faults.
@@ -81,6 +83,9 @@
 	r.object("queue", func(o *reader) {
 		spec.Queue = o.boolean("enabled")
 	})
+	r.object("hedging", func(o *reader) {
+		spec.HedgeShare = o.number("share", 0, maxHedgeShare)
+	})
 	r.object("traces", func(o *reader) {
 		spec.Tracing = readTracing(o)
 	})
--- a/internal/retrier/shared_retrier.go
+++ b/internal/retrier/shared_retrier.go
@@ -93,16 +93,12 @@
 // judge returns the reason why no retry follows the attempt, or handler.StopNone if the
 // budget decides.
 func judge(now timer.Instant, r RetryState) handler.StopReason {
-	limit := maxAttempts
-	if r.Limit > 0 {
-		limit = min(limit, r.Limit)
-	}
 	switch {
 	case !retryable(true, r.Last):
 		return handler.StopFinal
 	case !retryable(r.Idempotent, r.Last):
 		return handler.StopMayHaveRun
-	case r.Attempts >= maxTotalAttempts || r.MayHaveRun >= limit:
+	case Exhausted(r.Attempts, r.MayHaveRun, r.Limit):
 		return handler.StopAttempts
 	case r.Deadline.Sub(now) < minSharedTimeLeft:
 		return handler.StopTime
