Assign targets again only after a change

The assigner computed the assignment twice a second: at 2,300 VMs and 94,000 targets that is up to 77 x 3,100 hashes each time, and a new map of the targets. Targets write their entries every 1.5 s, so that the table of the registrar alone does not show whether its members have changed. The registrar now counts the changes of the members and of the evacuated data centres, and the assigner compares that number and the VMs heard with those of its last computation.

TestChanges: before, 15 computations in 15 periods; now none in the five without a change, and the assignment equals that of a new assigner after each change. It fails without the change. go test -race ./internal/assigner ./internal/registrar passes.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// period is the time between two computations of the assignment.
+	// period is the time between two checks for changes of the VMs heard or the targets.
 	period = 500 * time.Millisecond
 	// minPerVM is the average number of targets of a service that a VM is assigned, at
 	// least. It is more than one, since a target may fail or have no free slot.
@@ -34,12 +34,15 @@
 // fleet knows the other VMs.
 type fleet interface {
 	// HeardIn returns the addresses of the other VMs in the data centre whose reports
-	// arrive, in no particular order.
+	// arrive, in no particular order. The caller may change the slice.
 	HeardIn(dataCentre string) []string
 }
 
 // targetList holds the targets by service.
 type targetList interface {
+	// Generation returns a number that changes with the targets that EachService passes to
+	// f, except where only their entries change.
+	Generation() uint64
 	// EachService calls f with each service and its targets.
 	EachService(f func(service string, members []*registrar.Member))
 }
@@ -60,6 +63,10 @@
 	spec Spec
 	// assigned holds the targets assigned to this VM; it is replaced and never changed.
 	assigned atomic.Pointer[map[estimator.Key]struct{}]
+	// heard holds the other VMs, sorted, and generation that of the targets which the
+	// assignment was computed from. Only the goroutine that calls Update uses them.
+	heard      []string
+	generation uint64
 }
 
 // New returns an assigner without targets.
@@ -75,7 +82,7 @@
 // Name returns the controller's name.
 func (a *Assigner) Name() string { return "assigner" }
 
-// Run computes the assignment once per period until ctx ends.
+// Run updates the assignment once per period until ctx ends.
 func (a *Assigner) Run(ctx context.Context) error {
 	a.spec.Clock.Every(period).Each(ctx, func(timer.Instant) { a.Update() })
 
@@ -92,9 +99,23 @@
 // Size returns the number of targets assigned to this VM.
 func (a *Assigner) Size() int { return len(*a.assigned.Load()) }
 
-// Update computes the assignment from the VMs heard and the targets listed at present.
+// Update computes the assignment from the VMs heard and the targets listed at present, if
+// these have changed. It must be called by one goroutine at a time.
 func (a *Assigner) Update() {
-	others := a.spec.Fleet.HeardIn(a.spec.DataCentre)
+	heard := a.spec.Fleet.HeardIn(a.spec.DataCentre)
+	slices.Sort(heard)
+	// The generation is read before the targets: if they change in between, the next call
+	// computes again.
+	generation := a.spec.Targets.Generation()
+	if generation == a.generation && slices.Equal(heard, a.heard) {
+		return
+	}
+	a.heard, a.generation = heard, generation
+	a.compute(heard)
+}
+
+// compute computes the assignment; others are the other VMs heard.
+func (a *Assigner) compute(others []string) {
 	next := map[estimator.Key]struct{}{}
 	a.spec.Targets.EachService(func(_ string, members []*registrar.Member) {
 		local := a.local(members)
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/assigner"
@@ -140,3 +142,111 @@
 	fmt.Fprintf(&out, "after a VM dies, %d targets of the other VMs change their VM\n", moved)
 	goldie.New(t).Assert(t, "assignment", out.Bytes())
 }
+
+// countedTargets is a list of targets that counts how often all of them are read.
+type countedTargets struct {
+	*registrar.Registrar
+	reads int
+}
+
+// EachService counts the call.
+func (c *countedTargets) EachService(f func(service string, members []*registrar.Member)) {
+	c.reads++
+	c.Registrar.EachService(f)
+}
+
+// changingVMs are the other VMs that one VM hears at present.
+type changingVMs struct {
+	heard []string
+}
+
+// HeardIn returns a copy of the VMs, which are all in one data centre.
+func (c *changingVMs) HeardIn(string) []string { return slices.Clone(c.heard) }
+
+// zoned decodes an entry of the form "dataCentre started".
+func zoned(id string, value []byte) (*registrar.Entry, error) {
+	var dataCentre string
+	var started int64
+	if _, err := fmt.Sscan(string(value), &dataCentre, &started); err != nil {
+		return nil, errors.Wrap(err, "decoding a test entry")
+	}
+
+	return registrar.NewEntry(registrar.EntrySpec{
+		Target: manifester.TargetSpec{
+			Name:       id,
+			Address:    "10.0.0.1:80",
+			DataCentre: dataCentre,
+			Slots:      2,
+		},
+		Service:       "quotes",
+		StartedMillis: started,
+	}), nil
+}
+
+// TestChanges guards against a cost that grows with the fleet in each period although
+// nothing has changed, and against an assignment that misses a change.
+func TestChanges(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	targets := &countedTargets{Registrar: registrar.New(zoned, logger.Discard())}
+	vms := &changingVMs{}
+	spec := assigner.Spec{
+		Self:       "10.1.0.1:7000",
+		DataCentre: "east",
+		Fleet:      vms,
+		Targets:    targets,
+	}
+	a := assigner.New(spec)
+	list := func(id, entry string) {
+		targets.Update(now, []subscriber.Record{subscriber.NewRecord(id, []byte(entry), 1)})
+	}
+	var out bytes.Buffer
+	for _, c := range []struct {
+		title  string
+		change func()
+	}{
+		{"no targets", func() {}},
+		{"four targets", func() {
+			for _, id := range []string{"a", "b", "c", "d"} {
+				list(id, "east 1")
+			}
+		}},
+		{"no change", func() {}},
+		{"targets write their entries again", func() { list("a", "east 1"); list("b", "east 1") }},
+		{"other VMs are heard", func() { vms.heard = []string{"10.1.0.2:7000", "10.1.0.3:7000", "10.1.0.4:7000"} }},
+		{"in another order", func() { slices.Reverse(vms.heard) }},
+		{"another VM instead of one", func() { vms.heard[0] = "10.1.0.5:7000" }},
+		{"no other VM is heard", func() { vms.heard = nil }},
+		{"a target starts again", func() { list("a", "east 2") }},
+		{"a target moves to another data centre", func() { list("b", "west 1") }},
+		{"a target leaves", func() { targets.MarkLeaving(now, targets.Members("quotes")[3].Key()) }},
+		{"the data centre is evacuated", func() { targets.Evacuate(now, []string{"east"}, nil) }},
+		{"the evacuation ends", func() { targets.Evacuate(now, nil, []string{"east"}) }},
+		{"a target is removed", func() {
+			targets.Update(now, []subscriber.Record{subscriber.NewRecord("c", nil, 2)})
+		}},
+		{"the list is loaded again", func() {
+			targets.Replace(now, []subscriber.Record{subscriber.NewRecord("b", []byte("west 1"), 3), subscriber.NewRecord("a", []byte("east 2"), 3)})
+		}},
+	} {
+		c.change()
+		before := targets.reads
+		a.Update()
+		reads := targets.reads - before
+		fresh := assigner.New(spec)
+		fresh.Update()
+		fmt.Fprintf(&out, "%s: %d computations;", c.title, reads)
+		for _, m := range targets.Members("quotes") {
+			if a.Assigned(m.Key()) {
+				fmt.Fprintf(&out, " %s", m.Target().Name())
+			}
+			if a.Assigned(m.Key()) != fresh.Assigned(m.Key()) {
+				t.Errorf("%s: the assignment of %s is not that of a new assigner", c.title, m.Target().Name())
+			}
+		}
+		fmt.Fprintf(&out, " (%d in all)\n", a.Size())
+		if a.Size() != fresh.Size() {
+			t.Errorf("%s: %d targets are assigned, a new assigner has %d", c.title, a.Size(), fresh.Size())
+		}
+	}
+	goldie.New(t).Assert(t, "changes", out.Bytes())
+}
--- a/internal/registrar/evacuation.go
+++ b/internal/registrar/evacuation.go
@@ -27,6 +27,7 @@
 func (r *Registrar) Evacuate(now timer.Instant, dataCentres, ended []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.generation++
 	r.evacuations.dataCentres = map[string]bool{}
 	for _, name := range dataCentres {
 		r.evacuations.dataCentres[name] = true
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -55,6 +55,8 @@
 	// the instant at which each was last marked or listed. A list entry of such a start is
 	// ignored, whatever state it names.
 	leaving map[estimator.Key]timer.Instant
+	// generation grows with each change of the members or of the evacuated data centres.
+	generation uint64
 	// evacuations decides which members their services lack.
 	evacuations evacuations
 	// loaded is set once the list has been read.
@@ -94,14 +96,19 @@
 // may no longer be listed. The caller must not change the slice.
 func (r *Registrar) Members(service string) []*Member { return r.table.Load().services[service] }
 
-// EachService calls f with each service and its targets; some may no longer be listed. f must
-// not change the slice.
+// EachService calls f with each service and its targets without those in evacuated data
+// centres; some may no longer be listed. f must not change the slice.
 func (r *Registrar) EachService(f func(service string, members []*Member)) {
 	for s, list := range r.table.Load().services {
 		f(s, list)
 	}
 }
 
+// Generation returns a number that grows when EachService lists other targets than before,
+// another start of one or a target in another data centre. New entries of the same targets
+// alone do not change it.
+func (r *Registrar) Generation() uint64 { return r.table.Load().generation }
+
 // TargetName returns the name of the target with the key, or "" where there is none.
 func (r *Registrar) TargetName(k estimator.Key) string {
 	for id, m := range r.table.Load().members {
@@ -303,7 +310,11 @@
 
 		return // A later start of the target, if there is one, stays listed.
 	}
-	if !known || old.entry.startedMillis != entry.startedMillis {
+	started := !known || old.entry.startedMillis != entry.startedMillis
+	if started || old.Target().DataCentre() != entry.target.DataCentre() {
+		r.generation++
+	}
+	if started {
 		r.logger.Log(logger.TargetListed, logger.Text("target", id), logger.Text("service", entry.service),
 			logger.Text("dataCentre", entry.target.DataCentre()), logger.Millis("cold", entry.warmUp))
 	}
@@ -332,6 +343,7 @@
 
 func (r *Registrar) drop(members map[string]*Member, id, reason string) {
 	if _, known := members[id]; known {
+		r.generation++
 		r.logger.Log(logger.TargetGone, logger.Text("target", id), logger.Text("reason", reason))
 	}
 	delete(members, id)
--- a/internal/registrar/table.go
+++ b/internal/registrar/table.go
@@ -17,6 +17,8 @@
 	evacuated map[string][]string
 	// evacuatedCount is the number of members in evacuated data centres.
 	evacuatedCount int
+	// generation is that of the registrar when the table was built.
+	generation uint64
 }
 
 // publish replaces the table by one of the members.
@@ -25,6 +27,8 @@
 		members:   members,
 		services:  map[string][]*Member{},
 		evacuated: map[string][]string{},
+
+		generation: r.generation,
 	}
 	for _, m := range members {
 		next.add(m, r.evacuations.dataCentres[m.Target().DataCentre()])
