Refuse pieces that state offsets beyond their record

A piece relays one record, so that the offsets that it completes end with that record. A piece with a later end was accepted, and the receiver took the records in between as read. An empty piece counted as missing after it arrived, so that one that arrived several times completed a record of which nothing else was there. Pieces with different keys were joined. No VM sends any of these; all were found by reading the code. The receiver now refuses the first two and keeps the last apart.

TestPieces: the three new cases each applied a record before, and none does now. go test -race ./internal/gossiper ./internal/decoder passes.

--- a/internal/gossiper/piece.go
+++ b/internal/gossiper/piece.go
@@ -20,13 +20,15 @@
 type Piece struct {
 	topic    uint32
 	from, to subscriber.Offset
-	// offset and key are those of the record; offset is at least from and less than to.
+	// offset and key are those of the record, with which the offsets end: offset is at least
+	// from, and to is the next one.
 	offset subscriber.Offset
 	key    string
 	// index is at least 0 and less than count, the number of pieces of the record.
 	index uint32
 	count uint32
-	data  []byte
+	// data has at least one byte and at most maxRelay.
+	data []byte
 	// passTo holds the addresses of VMs to which the receiver passes the piece on.
 	passTo []string
 }
@@ -97,11 +99,17 @@
 
 // valid reports whether the piece can be one of a record.
 func (p *Piece) valid() bool {
-	return p.count > 0 && p.count <= maxPieces && p.index < p.count && len(p.data) <= maxRelay &&
-		p.from <= p.offset && p.offset < p.to
+	return p.count > 0 && p.count <= maxPieces && p.index < p.count && len(p.data) > 0 && len(p.data) <= maxRelay &&
+		p.from <= p.offset && p.to == p.offset+1
 }
 
-// splitRecord returns the pieces of a record that completes the topic between the offsets.
+// isOf reports whether both pieces are of the same record and of the same division of it.
+func (p *Piece) isOf(q *Piece) bool {
+	return p.topic == q.topic && p.offset == q.offset && p.from == q.from && p.key == q.key && p.count == q.count
+}
+
+// splitRecord returns the pieces of a record with a value that completes the topic between
+// the offsets.
 func splitRecord(topic uint32, from, to subscriber.Offset, x subscriber.Record) []*Piece {
 	parts := slices.Collect(slices.Chunk(x.Value(), maxRelay))
 	pieces := make([]*Piece, len(parts))
@@ -162,7 +170,7 @@
 // one is dropped if there are too many.
 func (c *collector) record(p *Piece) *incomplete {
 	for _, r := range c.records {
-		if r.first.topic == p.topic && r.first.offset == p.offset && r.first.from == p.from && r.first.count == p.count {
+		if r.first.isOf(p) {
 			return r
 		}
 	}
--- a/internal/gossiper/piece_test.go
+++ b/internal/gossiper/piece_test.go
@@ -46,6 +46,12 @@
 		{"too many pieces", []*Piece{hostile(PieceSpec{Count: maxPieces + 1})}},
 		{"a piece that is too long", []*Piece{hostile(PieceSpec{Count: 1, Data: make([]byte, maxRelay+1)})}},
 		{"an offset outside", []*Piece{NewPiece(PieceSpec{From: 8, To: 9, Offset: 7, Count: 1})}},
+		{"an empty piece that arrives three times", []*Piece{hostile(PieceSpec{Count: 3}), hostile(PieceSpec{Count: 3}), hostile(PieceSpec{Count: 3})}},
+		{"an end beyond the record", []*Piece{NewPiece(PieceSpec{From: 7, To: 20, Offset: 7, Count: 1, Data: []byte("a")})}},
+		{"pieces with different keys", []*Piece{
+			hostile(PieceSpec{Key: "a", Count: 2, Data: []byte("a")}),
+			hostile(PieceSpec{Key: "b", Count: 2, Index: 1, Data: []byte("b")}),
+		}},
 	} {
 		collected := &collector{}
 		fmt.Fprintf(&out, "%s:", c.title)
