--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -51,7 +51,7 @@
 	// maxDirectRelays is the number of VMs up to which a VM relays records to each of
 	// them itself.
 	maxDirectRelays = 15
-	// maxRelay bounds, in bytes, the records that one report relays.
+	// maxRelay bounds, in bytes, the records or the piece of one that one report relays.
 	maxRelay = 1200
 	// maxEstimateRequests bounds how often a new VM requests risk estimates from
 	// others, and estimateSources is the number of VMs that it sends each request to.
--- a/internal/gossiper/piece.go
+++ b/internal/gossiper/piece.go
@@ -131,6 +131,7 @@
 
 // incomplete is a record of which only some pieces have arrived.
 type incomplete struct {
+	// first is the piece that arrived first.
 	first *Piece
 	// parts has an entry for each piece; nil where it has not arrived.
 	parts [][]byte
--- a/internal/placer/preference.go
+++ b/internal/placer/preference.go
@@ -14,12 +14,13 @@
 	Assigned(k estimator.Key) bool
 }
 
-// preferAssigned marks targets as reserves, which get trial requests only: all but the
-// targets assigned to this VM that have a free slot, or else all but those of any VM that
-// have one. A target that costs more than the cheapest by preferenceSlack is not preferred.
-// Where no target can be preferred, none is a reserve.
+// preferAssigned marks the targets that are not preferred as reserves, which get trial
+// requests only. A target is usable if it has a free slot and does not cost more than the
+// cheapest one by over preferenceSlack. The usable targets that are assigned to this VM are
+// preferred, or all usable ones where none of them is assigned. Where no target is usable,
+// none is a reserve.
 func preferAssigned(list []candidate, p profile, a Assignment) {
-	lowest := math.Inf(1)
+	lowest := math.Inf(1) // The cost of the cheapest target.
 	for _, c := range list {
 		lowest = math.Min(lowest, c.cost(p))
 	}
--- a/internal/registrar/table.go
+++ b/internal/registrar/table.go
@@ -24,10 +24,9 @@
 // publish replaces the table by one of the members.
 func (r *Registrar) publish(members map[string]*Member) {
 	next := &table{
-		members:   members,
-		services:  map[string][]*Member{},
-		evacuated: map[string][]string{},
-
+		members:    members,
+		services:   map[string][]*Member{},
+		evacuated:  map[string][]string{},
 		generation: r.generation,
 	}
 	for _, m := range members {
