Do not count time twice in the buckets of cold targets

Requests and the periodic update take the time before they get the pacer's lock. One that was late set the bucket back to its earlier time, and the next call counted the time in between again: a cold target could get a second token at once. The time of a bucket no longer goes back.

--- a/internal/pacer/bucket.go
+++ b/internal/pacer/bucket.go
@@ -60,7 +60,8 @@
 	service string
 	// level is the part of the next token that has come, from 0 to 1.
 	level float64
-	// updated is the instant to which level and filledAt refer.
+	// updated is the instant to which level and filledAt refer. It never goes back, as time
+	// would then count twice.
 	updated timer.Instant
 	// filledAt is when the token came; 0 where there is none.
 	filledAt timer.Instant
@@ -80,16 +81,18 @@
 // full reports whether there is a token.
 func (b bucket) full() bool { return b.filledAt != 0 }
 
-// at returns the bucket as it is at a later instant. Where tokens are lost, the time
-// between two tokens does not depend on when they are used, since VMs that all use theirs
-// at one time would otherwise all get the next ones at one time.
+// at returns the bucket as it is at the instant, or as it was last updated where the instant
+// is earlier: requests and updates take the time before they get the lock. Where tokens are
+// lost, the time between two tokens does not depend on when they are used, since VMs that all
+// use theirs at one time would otherwise all get the next ones at one time.
 func (b bucket) at(now timer.Instant, p pace) bucket {
+	now = max(now, b.updated)
 	if b.full() && p.lifetime == 0 {
 		b.level, b.updated = 0, now
 
 		return b
 	}
-	b.level += p.share * max(0, now.Sub(b.updated)).Seconds()
+	b.level += p.share * now.Sub(b.updated).Seconds()
 	b.updated = now
 	if b.level >= 1 {
 		b.level -= math.Floor(b.level)
--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -102,3 +102,28 @@
 	x.pacer.Each(func(name string, c metrics.Counter) { fmt.Fprintf(&x.out, "%s %d\n", name, c.Count()) })
 	goldie.New(t).Assert(t, "pacer", x.out.Bytes())
 }
+
+// TestLateTick guards against a token that counts twice because an update that was due
+// earlier runs after a request: the goroutine that runs it may wait for the lock.
+func TestLateTick(t *testing.T) {
+	const (
+		target = estimator.Key(1)
+		late   = 900 * time.Millisecond
+	)
+	x := newTranscript()
+	x.vm.read = true
+	x.advance(10 * time.Second)
+	x.pacer.Hold(x.now, "s", target)
+	x.advance(time.Second)
+	if !x.pacer.MaySend(x.now, "s", target) {
+		t.Fatal("there is no token after a second at a rate of 2")
+	}
+	x.pacer.Take(x.now, "s", target)
+	x.pacer.Tick(x.now.Add(-late))
+	if x.pacer.MaySend(x.now.Add(time.Millisecond), "s", target) {
+		t.Error("there is a token 1 ms after the last one at a rate of 2")
+	}
+	if !x.pacer.MaySend(x.now.Add(500*time.Millisecond), "s", target) {
+		t.Error("there is no token half a second after the last one at a rate of 2")
+	}
+}
