Let a request wait again if its token expired in a stall

Cause: a token of the team in TestProof10PlannedStop lives 50 ms from the call to the holder. If the process stalled for that long between the token's arrival and the waiting goroutine, the request was refused at once with 429 over-rate, though the team was within its rate and the deadline was seconds away.

A refusal for lack of tokens needs a wait of about 250 ms, which is more than three requests, and the queue of 256 was not full.

Change: such a request waits again, in its place by arrival, up to the same end of its wait. The time limit for lack of tokens starts again. The bound on admissions is unchanged: an expired token admits nothing.

Not changed: a process that stalls for 250 ms or more before the reply of the holder is handled still refuses its waiting requests as over the rate.

--- a/internal/borrower/borrower.go
+++ b/internal/borrower/borrower.go
@@ -111,31 +111,48 @@
 	if w == nil {
 		return admitter.Refused(requestInterval(team))
 	}
-	select {
-	case <-ctx.Done():
-		l.mu.Lock()
-		l.limiter.Cancel(w)
-		l.mu.Unlock()
 
-		return admitter.Refused(requestInterval(team))
-	case v := <-w.Verdict():
-		return b.admissionVerdict(v, team)
+	return b.await(ctx, l, w, team)
+}
+
+// await waits for the verdict on a request, again where its token has expired before
+// this goroutine ran.
+func (b *Borrower) await(ctx context.Context, l *teamLimiter, w *Waiter, team *manifester.Team) admitter.Verdict {
+	for {
+		select {
+		case <-ctx.Done():
+			l.mu.Lock()
+			l.limiter.Cancel(w)
+			l.mu.Unlock()
+
+			return admitter.Refused(requestInterval(team))
+		case v := <-w.Verdict():
+			if !v.Admitted() || b.clock.Now().Before(v.Expires()) {
+				return admissionVerdict(v)
+			}
+			b.requeue(l, w)
+		}
 	}
 }
 
-func (b *Borrower) admissionVerdict(v Verdict, team *manifester.Team) admitter.Verdict {
+func admissionVerdict(v Verdict) admitter.Verdict {
+	if v.Admitted() {
+		return admitter.Admitted()
+	}
 	if v.HolderUnreachable() {
 		return admitter.Undecided(v.RetryAfter())
 	}
-	if !v.Admitted() {
-		return admitter.Refused(v.RetryAfter())
-	}
-	// The token may have expired before the waiting goroutine ran again.
-	if !b.clock.Now().Before(v.Expires()) {
-		return admitter.Refused(requestInterval(team))
-	}
 
-	return admitter.Admitted()
+	return admitter.Refused(v.RetryAfter())
+}
+
+// requeue makes a request wait again whose token has expired unused.
+func (b *Borrower) requeue(l *teamLimiter, w *Waiter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limiter.Requeue(b.clock.Now(), w)
+	b.step(l)
+	b.startDriver(l)
 }
 
 // admitOrEnqueue admits the request at once, or enqueues it and returns its
--- a/internal/borrower/waiter.go
+++ b/internal/borrower/waiter.go
@@ -38,8 +38,11 @@
 	// since is when the wait began; until is when it ends at the latest.
 	since timer.Instant
 	until timer.Instant
-	// verdict receives at most one verdict. Its buffer of one keeps the limiter
-	// from blocking.
+	// requeuedAt is when the wait began again since a token had expired unused; 0 if
+	// it has not.
+	requeuedAt timer.Instant
+	// verdict receives at most one verdict in each wait. Its buffer of one keeps the
+	// limiter from blocking.
 	verdict chan Verdict
 }
 
--- a/internal/borrower/waiting.go
+++ b/internal/borrower/waiting.go
@@ -1,11 +1,25 @@
 package borrower
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
+// Requeue makes a request wait again whose token has expired before it was used. A
+// stall of the process lets that happen to a team within its rate, so the request
+// keeps its place in the order of arrival, also beyond maxWaiters, and the time limit
+// of the wait for tokens starts again.
+func (l *Limiter) Requeue(now timer.Instant, w *Waiter) {
+	w.requeuedAt = now
+	i := slices.IndexFunc(l.waiters, func(v *Waiter) bool { return v.since.After(w.since) })
+	if i < 0 {
+		i = len(l.waiters)
+	}
+	l.waiters = slices.Insert(l.waiters, i, w)
+}
+
 // refuseWaiters refuses the requests whose waiting time is over. While the
 // holders of all slots are in backoff, it also refuses those that cannot get a
 // token in time.
@@ -55,7 +69,7 @@
 		return min(w.until, w.since.Add(maxUnreachableWait))
 	}
 
-	return min(w.until, max(w.since, l.lastUnreachable).Add(l.emptyWait()))
+	return min(w.until, max(w.since, w.requeuedAt, l.lastUnreachable).Add(l.emptyWait()))
 }
 
 // emptyWait returns how long a request waits while the holders have no tokens.
