Use one type for the rank of a request

Cause: internal/queuer and internal/retrier each had a type Rank with the same meaning, the priority of the team and then that of the route.

Change: internal/ranker has the type; the queue and the retries import it. How requests without a team are ranked stays as it was in both, and the comments name the difference.

--- a/internal/filterer/queue.go
+++ b/internal/filterer/queue.go
@@ -6,6 +6,7 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 )
 
 type queue interface {
@@ -18,7 +19,7 @@
 // queuePolicy decides what differs between the queues of the two chains.
 type queuePolicy interface {
 	// Rank returns the rank of the request.
-	Rank(x *handler.Exchange) queuer.Rank
+	Rank(x *handler.Exchange) ranker.Rank
 	// RetryAfter returns the Retry-After of a request that was refused, by its expected
 	// wait.
 	RetryAfter(x *handler.Exchange, wait time.Duration) time.Duration
--- a/internal/filterer/queue_policy.go
+++ b/internal/filterer/queue_policy.go
@@ -5,14 +5,14 @@
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
-	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 )
 
 // ByClass ranks requests by the class of their service.
 type ByClass struct{}
 
 // Rank returns the rank of the class.
-func (ByClass) Rank(x *handler.Exchange) queuer.Rank { return queuer.RankOfClass(x.Service().Class()) }
+func (ByClass) Rank(x *handler.Exchange) ranker.Rank { return ranker.OfClass(x.Service().Class()) }
 
 // RetryAfter returns the expected wait.
 func (ByClass) RetryAfter(_ *handler.Exchange, wait time.Duration) time.Duration { return wait }
@@ -39,14 +39,15 @@
 }
 
 // Rank returns the rank of the request. Where it has no team, the priority of the route
-// takes the place of the team's.
-func (*ByPriority) Rank(x *handler.Exchange) queuer.Rank {
+// takes the place of the team's, so that its order among the requests of teams follows the
+// route; retries rank such requests last, see rankOf.
+func (*ByPriority) Rank(x *handler.Exchange) ranker.Rank {
 	route := x.Route().Priority()
 	if x.Team() == nil {
-		return queuer.NewRank(route, route)
+		return ranker.New(route, route)
 	}
 
-	return queuer.NewRank(x.Team().Priority(), route)
+	return ranker.New(x.Team().Priority(), route)
 }
 
 // RetryAfter returns a random part, at least minSpread, of the expected wait. Callers do
--- a/internal/filterer/spacing.go
+++ b/internal/filterer/spacing.go
@@ -9,6 +9,7 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
@@ -42,7 +43,7 @@
 	repeatPolicy
 
 	// NoteRank notes the rank of a request to the service.
-	NoteRank(now timer.Instant, service string, r retrier.Rank)
+	NoteRank(now timer.Instant, service string, r ranker.Rank)
 	// ObserveAttempt counts an attempt at the service.
 	ObserveAttempt(now timer.Instant, service string, a *handler.Attempt)
 	// PlanRetry decides whether a retry may follow and how long it waits. It charges
@@ -139,13 +140,14 @@
 	})
 }
 
-// rankOf returns the rank of the request.
-func rankOf(x *handler.Exchange) retrier.Rank {
+// rankOf returns the rank of the request among those that want a retry; requests without a
+// team come last. ByPriority.Rank orders these otherwise.
+func rankOf(x *handler.Exchange) ranker.Rank {
 	if x.Team() == nil {
-		return retrier.NewRankWithoutTeam(x.Route().Priority())
+		return ranker.WithoutTeam(x.Route().Priority())
 	}
 
-	return retrier.NewRank(x.Team().Priority(), x.Route().Priority())
+	return ranker.New(x.Team().Priority(), x.Route().Priority())
 }
 
 // spacingAttributes returns the log attributes of delayed and refused retries of a service
--- a/internal/placer/fleet_test.go
+++ b/internal/placer/fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
 	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
 	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -32,7 +33,7 @@
 // kind is a stream of requests of one rank.
 type kind struct {
 	name string
-	rank queuer.Rank
+	rank ranker.Rank
 	// rate is the number of requests per second, and burst the factor on it from second 2
 	// to second 4.
 	rate  float64
--- a/internal/placer/room_test.go
+++ b/internal/placer/room_test.go
@@ -7,17 +7,17 @@
 
 	"github.com/sebdah/goldie/v2"
 
-	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 )
 
 // one returns a load of requests of one rank.
-func one(rate float64) []kind { return []kind{{name: "all", rank: queuer.NewRank(0, 0), rate: rate}} }
+func one(rate float64) []kind { return []kind{{name: "all", rank: ranker.New(0, 0), rate: rate}} }
 
 // two returns a load of a more important and a less important kind.
 func two(first, second, burst float64) []kind {
 	return []kind{
-		{name: "important", rank: queuer.NewRank(0, 1), rate: first},
-		{name: "usual", rank: queuer.NewRank(1, 0), rate: second, burst: burst},
+		{name: "important", rank: ranker.New(0, 1), rate: first},
+		{name: "usual", rank: ranker.New(1, 0), rate: second, burst: burst},
 	}
 }
 
--- a/internal/queuer/level.go
+++ b/internal/queuer/level.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
@@ -21,7 +22,7 @@
 // queueing: each start advances its team's tag by 1/weight, and the team with the lowest
 // tag is next.
 type level struct {
-	rank Rank
+	rank ranker.Rank
 	// virtualTime is the start tag of the last request that was started.
 	virtualTime float64
 	// finishTags maps each team to the finish tag of its last start.
@@ -41,7 +42,7 @@
 	interval  time.Duration
 }
 
-func newLevel(r Rank) *level {
+func newLevel(r ranker.Rank) *level {
 	return &level{
 		rank:       r,
 		finishTags: map[string]float64{},
--- a/internal/queuer/scheduler.go
+++ b/internal/queuer/scheduler.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
@@ -144,12 +145,12 @@
 }
 
 // indexOf returns the index of the rank's level, or that at which it would be inserted.
-func (s *Scheduler) indexOf(r Rank) (int, bool) {
-	return slices.BinarySearchFunc(s.levels, r, func(l *level, r Rank) int { return l.rank.compare(r) })
+func (s *Scheduler) indexOf(r ranker.Rank) (int, bool) {
+	return slices.BinarySearchFunc(s.levels, r, func(l *level, r ranker.Rank) int { return l.rank.Compare(r) })
 }
 
 // level returns the level of the rank, which may be new.
-func (s *Scheduler) level(r Rank) *level {
+func (s *Scheduler) level(r ranker.Rank) *level {
 	i, ok := s.indexOf(r)
 	if !ok {
 		s.levels = slices.Insert(s.levels, i, newLevel(r))
--- a/internal/queuer/scheduler_test.go
+++ b/internal/queuer/scheduler_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
@@ -67,7 +68,7 @@
 // enterRanked enters requests of one service with the priorities of a team and a route.
 func (s *scenario) enterRanked(n int, t *manifester.Team, priority, route int, timeout time.Duration) {
 	for range n {
-		k := queuer.NewTicket(service("fieldbook", ""), t, s.now.Add(timeout)).WithRank(queuer.NewRank(priority, route))
+		k := queuer.NewTicket(service("fieldbook", ""), t, s.now.Add(timeout)).WithRank(ranker.New(priority, route))
 		s.add(k, fmt.Sprintf("%d/%d/%s", priority, route, t.Name()))
 	}
 	s.collect()
--- a/internal/queuer/service_queue.go
+++ b/internal/queuer/service_queue.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
@@ -26,7 +27,7 @@
 
 // flow identifies the requests of one rank and team.
 type flow struct {
-	rank Rank
+	rank ranker.Rank
 	team string
 }
 
@@ -88,7 +89,7 @@
 // dropsBefore reports whether a ticket of the first flow is dropped before one of the
 // second.
 func dropsBefore(a, b []*Ticket) bool {
-	if c := a[0].rank.compare(b[0].rank); c != 0 {
+	if c := a[0].rank.Compare(b[0].rank); c != 0 {
 		return c > 0
 	}
 	x, y := float64(len(a))/a[0].weight, float64(len(b))/b[0].weight
@@ -110,7 +111,7 @@
 	}
 	weights, before := 0.0, 0
 	for f, tickets := range q.flows {
-		switch c := f.rank.compare(t.rank); {
+		switch c := f.rank.Compare(t.rank); {
 		case c < 0:
 			before += len(tickets)
 		case c == 0 && f.team != t.team:
--- a/internal/queuer/ticket.go
+++ b/internal/queuer/ticket.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
@@ -43,7 +44,7 @@
 // Ticket is one request in the queue.
 type Ticket struct {
 	service string
-	rank    Rank
+	rank    ranker.Rank
 	team    string
 	// weight is above 0.
 	weight   float64
@@ -64,7 +65,7 @@
 func NewTicket(s *manifester.Service, t *manifester.Team, deadline timer.Instant) *Ticket {
 	k := &Ticket{
 		service:  s.Name(),
-		rank:     RankOfClass(s.Class()),
+		rank:     ranker.OfClass(s.Class()),
 		weight:   1,
 		deadline: deadline,
 		verdict:  make(chan Verdict, 1),
@@ -78,7 +79,7 @@
 }
 
 // WithRank sets the rank of a ticket that has not entered a queue, and returns the ticket.
-func (t *Ticket) WithRank(r Rank) *Ticket {
+func (t *Ticket) WithRank(r ranker.Rank) *Ticket {
 	t.rank = r
 
 	return t
--- a/internal/retrier/rank.go
+++ b/internal/retrier/rank_table.go
@@ -1,64 +1,14 @@
 package retrier
 
 import (
-	"cmp"
-	"fmt"
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
-// Rank orders requests by the priority of the team and then by that of the route; 0 is the
-// most important.
-type Rank struct {
-	team  int
-	route int
-}
-
-// noTeam is the priority of requests without a team.
-const noTeam = math.MaxInt
-
-// lowestRank is the rank seen where there is no request.
-var lowestRank = Rank{team: noTeam, route: math.MaxInt}
-
-// NewRank returns the rank of requests of a team on a route with these priorities.
-func NewRank(team, route int) Rank {
-	return Rank{
-		team:  team,
-		route: route,
-	}
-}
-
-// NewRankWithoutTeam returns the rank of requests without a team. Those of every team are
-// more important.
-func NewRankWithoutTeam(route int) Rank { return NewRank(noTeam, route) }
-
-// Compare returns a number below 0 if the rank is higher than the other.
-func (r Rank) Compare(other Rank) int {
-	return cmp.Or(cmp.Compare(r.team, other.team), cmp.Compare(r.route, other.route))
-}
-
-// String returns the priorities of the team and of the route; - stands for no team.
-func (r Rank) String() string {
-	if r.team == noTeam {
-		return fmt.Sprintf("-/%d", r.route)
-	}
-
-	return fmt.Sprintf("%d/%d", r.team, r.route)
-}
-
-// higher returns the higher one of two ranks.
-func higher(a, b Rank) Rank {
-	if a.Compare(b) <= 0 {
-		return a
-	}
-
-	return b
-}
-
 // periodsPerWindow is the number of periods that a window of seen ranks is divided into.
 const periodsPerWindow = 4
 
@@ -67,13 +17,13 @@
 type seenRanks struct {
 	// period is the number of the newest period, which is the first entry of highest.
 	period  int64
-	highest [periodsPerWindow + 1]Rank
+	highest [periodsPerWindow + 1]ranker.Rank
 }
 
 func newSeenRanks() *seenRanks {
 	s := &seenRanks{}
 	for i := range s.highest {
-		s.highest[i] = lowestRank
+		s.highest[i] = ranker.Lowest()
 	}
 
 	return s
@@ -113,7 +63,7 @@
 }
 
 // note notes the rank of a request.
-func (t *rankTable) note(now timer.Instant, service string, r Rank) {
+func (t *rankTable) note(now timer.Instant, service string, r ranker.Rank) {
 	seen := t.service(service)
 	period := int64(time.Duration(now) / t.period)
 	for {
@@ -122,7 +72,7 @@
 			return
 		}
 		next := old.at(period)
-		next.highest[0] = higher(next.highest[0], r)
+		next.highest[0] = next.highest[0].Higher(r)
 		if seen.CompareAndSwap(old, next) {
 			return
 		}
@@ -130,10 +80,10 @@
 }
 
 // highest returns the highest rank seen within the window.
-func (t *rankTable) highest(now timer.Instant, service string) Rank {
-	best := lowestRank
+func (t *rankTable) highest(now timer.Instant, service string) ranker.Rank {
+	best := ranker.Lowest()
 	for _, r := range t.service(service).Load().at(int64(time.Duration(now) / t.period)).highest {
-		best = higher(best, r)
+		best = best.Higher(r)
 	}
 
 	return best
--- a/internal/retrier/shared_retrier.go
+++ b/internal/retrier/shared_retrier.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
@@ -41,7 +42,7 @@
 	Limit int
 	Last  *handler.Attempt
 	// Rank is that of the request; only SpacedRetrier uses it.
-	Rank Rank
+	Rank ranker.Rank
 }
 
 // SharedRetrier decides about retries with a budget that all VMs share. It is safe for
--- a/internal/retrier/spaced_retrier.go
+++ b/internal/retrier/spaced_retrier.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
@@ -102,7 +103,7 @@
 }
 
 // NoteRank notes the rank of a caller's request to the service.
-func (s *SpacedRetrier) NoteRank(now timer.Instant, service string, r Rank) {
+func (s *SpacedRetrier) NoteRank(now timer.Instant, service string, r ranker.Rank) {
 	s.ranks.note(now, service, r)
 }
 
--- a/internal/retrier/spaced_retrier_test.go
+++ b/internal/retrier/spaced_retrier_test.go
@@ -11,6 +11,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -40,7 +41,7 @@
 	shed := failed(handler.FaultShed, true)
 	served := handler.NewCompletedAttempt(nil, handler.NewResponse(200, nil))
 	var out bytes.Buffer
-	plan := func(title string, rank retrier.Rank, attempts int, left time.Duration, last *handler.Attempt) {
+	plan := func(title string, rank ranker.Rank, attempts int, left time.Duration, last *handler.Attempt) {
 		budget.StartRound(now)
 		s := retrier.RetryState{Service: "s", Deadline: now.Add(left), Attempts: attempts, Last: last, Rank: rank}
 		p := r.PlanRetry(now, s)
@@ -50,7 +51,7 @@
 		}
 		fmt.Fprintf(&out, "%s: %s after %v %s\n", title, cmp.Or(string(stop), "again"), p.Delay(), p.Basis())
 	}
-	high, low := retrier.NewRank(0, 1), retrier.NewRank(0, 2)
+	high, low := ranker.New(0, 1), ranker.New(0, 2)
 	r.NoteRank(now, "s", low)
 	plan("no rejections", low, 1, time.Second, shed)
 	for range 6 {
@@ -75,7 +76,7 @@
 	r.NoteRank(now, "s", high)
 	plan("a higher rank was seen", low, 1, time.Second, shed)
 	plan("the higher rank", high, 1, time.Second, shed)
-	plan("without a team", retrier.NewRankWithoutTeam(0), 1, time.Second, shed)
+	plan("without a team", ranker.WithoutTeam(0), 1, time.Second, shed)
 	plan("never reached a target", low, 1, time.Second, failed(handler.FaultConnect, true))
 	plan("the higher rank", high, 1, time.Second, shed)
 	plan("the higher rank, the budget is used up", high, 1, time.Second, shed)
@@ -98,7 +99,7 @@
 	budget := tallier.New(0, pressureLimits{})
 	r := retrier.NewSpacedRetrier(budget, watcher.NewPressure(budget), 10*time.Second, func() float64 { return 0 })
 	shed := failed(handler.FaultShed, true)
-	low := retrier.NewRank(1, 0)
+	low := ranker.New(1, 0)
 	basis := func(now timer.Instant) string {
 		r.NoteRank(now, "s", low)
 		for range 10 {
@@ -108,7 +109,7 @@
 		return r.PlanRetry(now, retrier.RetryState{Service: "s", Deadline: now.Add(time.Second), Attempts: 1, Last: shed, Rank: low}).Basis()
 	}
 	now := timer.Instant(time.Hour)
-	r.NoteRank(now, "s", retrier.NewRank(0, 5))
+	r.NoteRank(now, "s", ranker.New(0, 5))
 	for _, c := range []struct {
 		after time.Duration
 		want  string
@@ -129,7 +130,7 @@
 	budget := tallier.New(0, pressureLimits{})
 	r := retrier.NewSpacedRetrier(budget, watcher.NewPressure(budget), 0, func() float64 { return 0 })
 	now := timer.Instant(time.Hour)
-	r.NoteRank(now, "s", retrier.NewRank(0, 0))
+	r.NoteRank(now, "s", ranker.New(0, 0))
 	if p := r.PlanRetry(now, retrier.RetryState{
 		Service: "s", Deadline: now.Add(time.Second), Attempts: 1, Last: failed(handler.FaultShed, true),
 	}); p.Stop() != handler.StopNone {
--- a/internal/retrier/spacing_fleet_test.go
+++ b/internal/retrier/spacing_fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -141,12 +142,12 @@
 
 // ranks are those of the callers, the highest first, with their shares of the requests.
 var ranks = []struct {
-	rank  retrier.Rank
+	rank  ranker.Rank
 	share float64
 }{
-	{retrier.NewRank(0, 1), 0.2},
-	{retrier.NewRank(1, 0), 0.3},
-	{retrier.NewRank(1, 2), 0.5},
+	{ranker.New(0, 1), 0.2},
+	{ranker.New(1, 0), 0.3},
+	{ranker.New(1, 2), 0.5},
 }
 
 // arrive begins one caller's request and schedules the next.
