Divide the placer and the simulated fleet of its tests by topic

Change: attempts, results, candidates, pauses and the check for overdue attempts have files of their own, and so have the VMs of the simulated fleet. The code is moved and not changed; warmUpFactor is beside slotsOf, which uses it.

--- a/internal/placer/census.go
+++ b/internal/placer/census.go
@@ -15,6 +15,9 @@
 	// in full where all are suspect: a service whose targets are all slow is one that
 	// serves slowly, and must not be closed.
 	maxSuspectShare = 0.5
+	// warmUpFactor is the fraction of its slots that a target has while it warms up
+	// after a start.
+	warmUpFactor = 0.5
 )
 
 // census sums up targets of a service.
