Start waiting requests before a new one is judged

Cause: on the platform's store the bound of a service may have grown since the last start when a request enters. Its wait was then expected behind all requests that still waited, so it could be refused as late although its service had room, and those that waited stayed where they were until the next start.

Change: where requests wait, the scheduler of a service starts those for which there is room before it judges the new one. The log path is unchanged. Comments of Waiting and of the bound say what the code does.

--- a/internal/placer/bound.go
+++ b/internal/placer/bound.go
@@ -36,8 +36,9 @@
 // bound returns the number of requests that this VM may have open: the larger of what the
 // other VMs leave free and its share of the room by open and waiting requests. Where
 // requests wait on other VMs too, what these need is left to them, or a part where less is
-// free, as each of these VMs sees the same free room. Requests of this VM that take no counted slot, for example at
-// a target that does not respond, are allowed in addition.
+// free, as each of these VMs sees the same free room. Requests of this VM that take no
+// counted slot, for example at a target that does not respond or between two attempts, are
+// allowed in addition.
 func (u usage) bound() float64 {
 	room := networkFactor * u.slots * float64(u.heard) / float64(u.known)
 	running := u.countedRunning()
--- a/internal/queuer/scheduler.go
+++ b/internal/queuer/scheduler.go
@@ -65,11 +65,14 @@
 	s.total = max(1, total)
 	s.arrivals++
 	t.number = s.arrivals
+	q := s.serviceQueue(t.service)
+	q.bound = max(1, bound)
 	if s.startsFree {
 		t.maxDuration = t.deadline.Sub(now) / durationDivisor
 	}
-	q := s.serviceQueue(t.service)
-	q.bound = max(1, bound)
+	if s.startsFree && q.waiting > 0 { // The bound may have grown.
+		s.dispatch(now)
+	}
 	l := s.level(t.rank)
 	l.open++
 	if wait := q.estimateWait(t, l.interval); q.missesDeadline(now, t, wait) {
@@ -117,7 +120,7 @@
 	return t.deadline.Add(-s.serviceQueue(t.service).expectedDuration(t))
 }
 
-// Waiting returns the number of requests that wait, and Running of those that run.
+// Waiting returns the number of requests that wait.
 func (s *Scheduler) Waiting() int {
 	n := 0
 	for _, q := range s.queues {
--- a/internal/queuer/scheduler_test.go
+++ b/internal/queuer/scheduler_test.go
@@ -168,6 +168,18 @@
 
 			return s
 		}},
+		// Guards against a request that is refused although its service has room: the bound
+		// grew while requests waited, and these do not fill the new room.
+		{"room-grew", func() *scenario {
+			s := newServiceScenario(1)
+			s.enterRanked(1, light, 1, 0, time.Minute)
+			s.leave(1, time.Second)
+			s.enterRanked(13, light, 1, 0, time.Minute)
+			s.bound = 20
+			s.enterRanked(1, light, 1, 0, time.Second)
+
+			return s
+		}},
 		{"full", func() *scenario {
 			s := newScenario(1, 8)
 			s.enter(33, manifester.ClassLookup, light, time.Minute)
