Start a waiting request without a copy of the others

Cause: a request that left the queue had the rest of its flow copied, under the lock of the VM's queue: the cost of each start grew with the requests that wait, which are up to 1,024 for a service.

Change: the first request of a flow is cut off, and one in the middle is removed in place.

--- a/internal/queuer/service_queue.go
+++ b/internal/queuer/service_queue.go
@@ -1,6 +1,7 @@
 package queuer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
@@ -59,10 +60,14 @@
 		if k != t {
 			continue
 		}
-		if len(tickets) == 1 {
+		switch {
+		case len(tickets) == 1:
 			delete(q.flows, t.flow())
-		} else {
-			q.flows[t.flow()] = append(tickets[:i:i], tickets[i+1:]...)
+		case i == 0: // The next to start, as in most cases.
+			tickets[0] = nil
+			q.flows[t.flow()] = tickets[1:]
+		default:
+			q.flows[t.flow()] = slices.Delete(tickets, i, i+1)
 		}
 		q.waiting--
 
