--- a/internal/queuer/scheduler.go
+++ b/internal/queuer/scheduler.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
@@ -64,11 +65,14 @@
 	s.total = max(1, total)
 	s.arrivals++
 	t.number = s.arrivals
+	q := s.serviceQueue(t.service)
+	q.bound = max(1, bound)
 	if s.startsFree {
 		t.maxDuration = t.deadline.Sub(now) / durationDivisor
 	}
-	q := s.serviceQueue(t.service)
-	q.bound = max(1, bound)
+	if s.startsFree && q.waiting > 0 { // The bound may have grown.
+		s.dispatch(now)
+	}
 	l := s.level(t.rank)
 	l.open++
 	if wait := q.estimateWait(t, l.interval); q.missesDeadline(now, t, wait) {
@@ -116,7 +120,7 @@
 	return t.deadline.Add(-s.serviceQueue(t.service).expectedDuration(t))
 }
 
-// Waiting returns the number of requests that wait, and Running of those that run.
+// Waiting returns the number of requests that wait.
 func (s *Scheduler) Waiting() int {
 	n := 0
 	for _, q := range s.queues {
@@ -144,12 +148,12 @@
 }
 
 // indexOf returns the index of the rank's level, or that at which it would be inserted.
-func (s *Scheduler) indexOf(r Rank) (int, bool) {
-	return slices.BinarySearchFunc(s.levels, r, func(l *level, r Rank) int { return l.rank.compare(r) })
+func (s *Scheduler) indexOf(r ranker.Rank) (int, bool) {
+	return slices.BinarySearchFunc(s.levels, r, func(l *level, r ranker.Rank) int { return l.rank.Compare(r) })
 }
 
 // level returns the level of the rank, which may be new.
-func (s *Scheduler) level(r Rank) *level {
+func (s *Scheduler) level(r ranker.Rank) *level {
 	i, ok := s.indexOf(r)
 	if !ok {
 		s.levels = slices.Insert(s.levels, i, newLevel(r))
--- a/internal/queuer/service_queue.go
+++ b/internal/queuer/service_queue.go
@@ -1,8 +1,10 @@
 package queuer
 
 import (
+	"slices"
 	"time"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
@@ -26,7 +28,7 @@
 
 // flow identifies the requests of one rank and team.
 type flow struct {
-	rank Rank
+	rank ranker.Rank
 	team string
 }
 
@@ -58,10 +60,14 @@
 		if k != t {
 			continue
 		}
-		if len(tickets) == 1 {
+		switch {
+		case len(tickets) == 1:
 			delete(q.flows, t.flow())
-		} else {
-			q.flows[t.flow()] = append(tickets[:i:i], tickets[i+1:]...)
+		case i == 0: // The next to start, as in most cases.
+			tickets[0] = nil
+			q.flows[t.flow()] = tickets[1:]
+		default:
+			q.flows[t.flow()] = slices.Delete(tickets, i, i+1)
 		}
 		q.waiting--
 
@@ -88,7 +94,7 @@
 // dropsBefore reports whether a ticket of the first flow is dropped before one of the
 // second.
 func dropsBefore(a, b []*Ticket) bool {
-	if c := a[0].rank.compare(b[0].rank); c != 0 {
+	if c := a[0].rank.Compare(b[0].rank); c != 0 {
 		return c > 0
 	}
 	x, y := float64(len(a))/a[0].weight, float64(len(b))/b[0].weight
@@ -110,7 +116,7 @@
 	}
 	weights, before := 0.0, 0
 	for f, tickets := range q.flows {
-		switch c := f.rank.compare(t.rank); {
+		switch c := f.rank.Compare(t.rank); {
 		case c < 0:
 			before += len(tickets)
 		case c == 0 && f.team != t.team:
