Keep a full target paused when an attempt at it is canceled

placer.End ended the pause of a target without capacity for every attempt that was not rejected, also for those that the caller or a hedge canceled, which say nothing about capacity. Only an attempt with an outcome ends the pause now.

TestFullTarget fails without the change (wait 0s instead of 200ms after a canceled attempt) and passes with it; go test -race ./internal/placer passes.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -336,9 +336,10 @@
 	p.mu.Lock()
 	delete(p.open, a)
 	decrement(p.openPerTarget, k)
-	if r.Full {
+	switch {
+	case r.Full:
 		p.fullUntil[k] = now.Add(fullBackoff)
-	} else {
+	case r.Outcome.Valid(): // An attempt without an outcome says nothing about capacity.
 		delete(p.fullUntil, k)
 	}
 	if r.Pause > 0 {
