Count no failure for an attempt overtaken while it connects

The cancellation of an attempt ended the opening of its connection with the fault connect, which the placer reports to the fleet as an unreachable target. A hedge opens a connection as a rule, and the first attempt often ends meanwhile, so that hedges raised the risk of working targets. Such an attempt has the fault canceled now.

TestOvertakenWhileConnecting fails without the change (fault=connect) and passes with it; go test -race ./internal/forwarder passes.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -94,11 +94,14 @@
 		return handler.NewFailedAttempt(target, handler.FaultCanceled, handler.NewRefusal(handler.CodeTimeout, "the caller went away before the request was sent"))
 	}
 	c, fault := t.pool.acquire(ctx, target, left, policyFor(x), x.Request().Fields().Get(t.dialect.RequestID()))
+	if fault == handler.FaultConnect && overtaken(ctx) {
+		return handler.NewFailedAttempt(target, handler.FaultCanceled, handler.NewRefusal(handler.CodeTimeout, "another attempt got a response before the request was sent"))
+	}
 	if fault != handler.FaultNone {
 		return unsent(target, fault)
 	}
 	a := t.exchange(ctx, c, x)
-	if a.Fault() != handler.FaultNone && a.MayHaveRun() && !errors.Is(context.Cause(ctx), handler.ErrOvertaken) {
+	if a.Fault() != handler.FaultNone && a.MayHaveRun() && !overtaken(ctx) {
 		// The cause of the failure may have broken the idle connections too.
 		t.pool.closeIdle(target.Address())
 	}
@@ -106,6 +109,11 @@
 	return a
 }
 
+// overtaken reports whether another attempt at the same request got a response first.
+func overtaken(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), handler.ErrOvertaken)
+}
+
 // exchange sends the request on the connection, and returns the connection to the pool or
 // closes it, also after a panic.
 func (t *Transport) exchange(ctx context.Context, c *connection, x *handler.Exchange) *handler.Attempt {
--- a/internal/forwarder/overtaken_test.go
+++ b/internal/forwarder/overtaken_test.go
@@ -7,7 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
 // TestOvertaken checks that an attempt that another one overtook ends at once, closes its
@@ -57,3 +61,21 @@
 		t.Errorf("%s, reused=%v, %d connections opened; want the idle one to be kept", describe(a), a.Reused(), f.opened.Load())
 	}
 }
+
+// TestOvertakenWhileConnecting checks that an attempt that another one overtook while its
+// connection was opened is no failure of the target: otherwise hedges would make a working
+// target suspect.
+func TestOvertakenWhileConnecting(t *testing.T) {
+	f := startTarget(t, respond(okResponse))
+	ctx, cancel := context.WithCancelCause(t.Context())
+	s := timer.NewService()
+	tr := forwarder.NewTransport(s, handler.DefaultDialect(), reserver.New(testMemory), func(*manifester.Target) int {
+		cancel(handler.ErrOvertaken) // The limit is read before a connection is opened.
+
+		return 4
+	})
+	spec := attemptSpec{address: f.ln.Addr().String(), idempotent: true}
+	if got, want := describe(do(ctx, tr, s, spec)), "fault=canceled outcome=not-run code=timeout"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
