Let a hedge reuse an idle connection

The forwarder took a hedge for a retry, since its list of targets tried holds that of the first attempt, and opened a connection for each. A hedge beside the first attempt runs only for requests that may run more than once, and uses idle connections as the first attempt does; a retry, and a hedge beside one, still gets a new connection.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -146,7 +146,7 @@
 
 func policyFor(x *handler.Exchange) reusePolicy {
 	switch {
-	case len(x.Tried()) > 1:
+	case isRetry(x):
 		return reuseNone
 	case !x.Idempotent():
 		return reuseRecent
@@ -155,6 +155,12 @@
 	}
 }
 
+// isRetry reports whether an earlier attempt at the request has ended. A hedge beside the
+// first attempt is no retry: it may reuse a connection as that one may.
+func isRetry(x *handler.Exchange) bool {
+	return len(x.Tried()) > 1 && (!x.Hedge() || len(x.History()) > 0)
+}
+
 // unsent returns the attempt of a request for which no connection was available.
 func unsent(target *manifester.Target, fault handler.Fault) *handler.Attempt {
 	if fault == handler.FaultConnectionLimit {
--- a/internal/handler/exchange.go
+++ b/internal/handler/exchange.go
@@ -180,6 +180,9 @@
 // SetRetryBasis sets the data behind the delay or the refusal of a retry.
 func (x *Exchange) SetRetryBasis(text string) { x.retryBasis = text }
 
+// Hedge reports whether the exchange is a copy on which a hedge runs.
+func (x *Exchange) Hedge() bool { return x.hedge }
+
 // AttemptRecord is one entry in the history of an exchange.
 type AttemptRecord struct {
 	attempt *Attempt
