Count the rejections of hedged attempts for the pressure

The filter repeat counted only the attempt whose result was passed on, so that the rejection of the other attempt of a hedged request was missing from the attempts and rejections by which a service is under pressure. It now counts each entry that an attempt adds to the history.

TestRejectionsOfHedges fails without the change and passes with it; go test -race ./internal/filterer passes.

--- a/internal/filterer/repeat.go
+++ b/internal/filterer/repeat.go
@@ -72,6 +72,7 @@
 		err := next.Serve(ctx, x)
 		a := x.Attempt()
 		possibleRuns += countPossibleRuns(x.History()[known:])
+		r.spacer.observe(x, x.History()[known:])
 		if a == previous { // No attempt was made.
 			return r.spacer.finish(x, combineAttempts(x, errors.CombineErrors(earlierErr, err), possibleRuns > 0, response))
 		}
--- a/internal/filterer/spacing.go
+++ b/internal/filterer/spacing.go
@@ -17,6 +17,8 @@
 type spacer interface {
 	// begin notes a request before its first attempt.
 	begin(x *handler.Exchange)
+	// observe notes attempts at the request that have ended.
+	observe(x *handler.Exchange, attempts []handler.AttemptRecord)
 	// decide decides whether a retry follows the last attempt, and returns once it is
 	// due, or once the caller leaves.
 	decide(ctx context.Context, x *handler.Exchange, s retrier.RetryState) handler.StopReason
@@ -32,6 +34,8 @@
 
 func (*immediate) begin(*handler.Exchange) {}
 
+func (*immediate) observe(*handler.Exchange, []handler.AttemptRecord) {}
+
 func (m *immediate) decide(_ context.Context, _ *handler.Exchange, s retrier.RetryState) handler.StopReason {
 	return m.policy.DecideRetry(m.clock.Now(), s)
 }
@@ -80,11 +84,16 @@
 	s.policy.NoteRank(s.clock.Now(), x.Service().Name(), rankOf(x))
 }
 
+func (s *spaced) observe(x *handler.Exchange, attempts []handler.AttemptRecord) {
+	now := s.clock.Now()
+	for _, r := range attempts {
+		s.policy.ObserveAttempt(now, x.Service().Name(), r.Attempt())
+	}
+}
+
 func (s *spaced) decide(ctx context.Context, x *handler.Exchange, state retrier.RetryState) handler.StopReason {
 	state.Rank = rankOf(x)
-	now := s.clock.Now()
-	s.policy.ObserveAttempt(now, state.Service, state.Last)
-	p := s.policy.PlanRetry(now, state)
+	p := s.policy.PlanRetry(s.clock.Now(), state)
 	if p.Basis() != "" {
 		x.SetRetryBasis(p.Basis())
 	}
