Hedge no requests of a service under pressure

A hedge was charged to the retry budget without its reserve, so that requests of any rank used the part that is reserved for the highest while targets reject many attempts. With retries.spacing, a service under pressure now gets no hedges, as a degraded one.

TestNoHedgesUnderPressure fails without the change and passes with it; go test -race ./internal/hedger ./internal/assembler passes.

--- a/internal/assembler/store_hedging.go
+++ b/internal/assembler/store_hedging.go
@@ -10,6 +10,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/hedger"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
 // withHedging sets the limit of hedges, if the settings allow any, and returns the limits.
@@ -50,7 +51,13 @@
 		return nil
 	}
 
-	return hedger.New(v.tallier, v.watcher.Degraded)
+	return hedger.New(v.tallier, v.unfitForHedges)
+}
+
+// unfitForHedges reports whether too many of the service's requests are not served, or its
+// targets reject so many attempts that a part of the retry budget is reserved.
+func (v *StoreVM) unfitForHedges(now timer.Instant, service string) bool {
+	return v.watcher.Degraded(now, service) || v.spacing != nil && v.spacing.retries.UnderPressure(now, service)
 }
 
 // hedgeFilters returns the filter that hedges requests, or none.
--- a/internal/hedger/hedger.go
+++ b/internal/hedger/hedger.go
@@ -50,8 +50,9 @@
 // Hedger decides about hedges. It is safe for concurrent use and takes no lock of its own.
 type Hedger struct {
 	counts counts
-	// degraded reports whether too many of the service's requests are not served.
-	degraded func(now timer.Instant, service string) bool
+	// unfit reports whether requests to the service must not be hedged, because too many of
+	// them are not served or are rejected by targets.
+	unfit func(now timer.Instant, service string) bool
 	// routes holds a *latency for each route by name.
 	routes sync.Map
 	// second is the present second, and samples the latencies recorded in it.
@@ -64,11 +65,12 @@
 	refused  metrics.Counter
 }
 
-// New returns a hedger that uses the accounts.
-func New(c counts, degraded func(now timer.Instant, service string) bool) *Hedger {
+// New returns a hedger that uses the accounts. It hedges no request to a service that is
+// unfit for hedges.
+func New(c counts, unfit func(now timer.Instant, service string) bool) *Hedger {
 	return &Hedger{
 		counts:   c,
-		degraded: degraded,
+		unfit:    unfit,
 		sent:     metrics.NewCounter(),
 		won:      metrics.NewCounter(),
 		canceled: metrics.NewCounter(),
@@ -105,7 +107,7 @@
 // hedged now, and charges the hedge to the limit and to the retry budget.
 func (h *Hedger) Allow(now timer.Instant, r Request) bool {
 	e := h.latency(r.Route).estimate(now, h.counts)
-	if !e.usable || r.Deadline.Sub(now) < e.median || h.degraded(now, r.Service) {
+	if !e.usable || r.Deadline.Sub(now) < e.median || h.unfit(now, r.Service) {
 		return false
 	}
 	if !h.counts.UseAll(now, tallier.RetryAccount(r.Service), tallier.HedgeAccount(r.Service)).Granted() {
