--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -95,7 +95,8 @@
 	}
 	c, fault := t.pool.acquire(ctx, target, left, policyFor(x), x.Request().Fields().Get(t.dialect.RequestID()))
 	if fault == handler.FaultConnect && overtaken(ctx) {
-		return handler.NewFailedAttempt(target, handler.FaultCanceled, handler.NewRefusal(handler.CodeTimeout, "another attempt got a response before the request was sent"))
+		return handler.NewFailedAttempt(target, handler.FaultCanceled,
+			handler.NewRefusal(handler.CodeTimeout, "another attempt got a response before the request was sent"))
 	}
 	if fault != handler.FaultNone {
 		return unsent(target, fault)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -22,8 +22,6 @@
 	// warmUpFactor is the fraction of its slots that a target has while it warms up
 	// after a start.
 	warmUpFactor = 0.5
-	// fullBackoff is how long a target that had no capacity gets no attempts.
-	fullBackoff = 250 * time.Millisecond
 	// overduePeriod is the time between two checks for overdue attempts.
 	overduePeriod = 100 * time.Millisecond
 	// abandonRisk is the risk of the target above which an overdue attempt is
@@ -298,13 +296,6 @@
 // Evacuated returns the evacuated data centres that have targets of the service.
 func (p *Placer) Evacuated(service string) []string { return p.spec.Targets.Evacuated(service) }
 
-// NoteFull records that a target had no capacity for a request of another VM.
-func (p *Placer) NoteFull(now timer.Instant, k estimator.Key) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.fullUntil[k] = now.Add(fullBackoff)
-}
-
 // Each calls f with the name and the counter of each outcome of attempts.
 func (p *Placer) Each(f func(name string, c metrics.Counter)) {
 	for o, c := range p.outcomes {
@@ -336,12 +327,7 @@
 	p.mu.Lock()
 	delete(p.open, a)
 	decrement(p.openPerTarget, k)
-	switch {
-	case r.Full:
-		p.fullUntil[k] = now.Add(fullBackoff)
-	case r.Outcome.Valid(): // An attempt without an outcome says nothing about capacity.
-		delete(p.fullUntil, k)
-	}
+	p.updateFull(now, k, r)
 	if r.Pause > 0 {
 		p.pausedUntil[k] = max(p.pausedUntil[k], now.Add(r.Pause))
 	}
--- a/internal/tallier/hedges.go
+++ b/internal/tallier/hedges.go
@@ -25,7 +25,8 @@
 func (a Account) Block() Account { return a &^ (LatencyBuckets - 1) }
 
 // UseAll reports whether one more use of each account is allowed, and then counts it for
-// all of them. The verdict is that of the first account that refuses.
+// all of them. An account without a limit allows everything. The verdict is that of the first
+// account that refuses.
 func (t *Tallier) UseAll(now timer.Instant, ids ...Account) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
