--- a/internal/placer/result.go
+++ b/internal/placer/result.go
@@ -31,11 +31,7 @@
 	p.mu.Lock()
 	delete(p.open, a)
 	decrement(p.openPerTarget, k)
-	if r.Full {
-		p.fullUntil[k] = now.Add(fullBackoff)
-	} else {
-		delete(p.fullUntil, k)
-	}
+	p.updateFull(now, k, r)
 	if r.Pause > 0 {
 		p.pausedUntil[k] = max(p.pausedUntil[k], now.Add(r.Pause))
 	}
