Add side-effect-free queries to the parts that place a request

Cause: a command that tells where a request would go must decide by the code of a real request and change no state; placer, queuer, tallier, hedger, retrier and splitter decide only while they count, charge or open something.

Begin, Enter, Delay and Choose use the same steps. Recent of the tallier, Demand of the queuer and the highest rank of the retrier no longer create an entry for a name without any count; the answer is the same.

--- a/internal/hedger/hedger.go
+++ b/internal/hedger/hedger.go
@@ -92,10 +92,21 @@
 // Delay returns the time after which the attempt that begins now may be hedged, or false
 // if it may not be.
 func (h *Hedger) Delay(now timer.Instant, r Request) (time.Duration, bool) {
-	if !r.Idempotent || retrier.Exhausted(r.Attempts, r.MayHaveRun, r.Limit) {
+	if r.final() {
 		return 0, false
 	}
-	e := h.latency(r.Route).estimate(now, h.counts)
+
+	return h.latency(r.Route).estimate(now, h.counts).delay(now, r)
+}
+
+// final reports whether the request may not have another attempt.
+func (r Request) final() bool {
+	return !r.Idempotent || retrier.Exhausted(r.Attempts, r.MayHaveRun, r.Limit)
+}
+
+// delay returns the time after which the attempt that begins now may be hedged, or false
+// if it may not be.
+func (e *estimate) delay(now timer.Instant, r Request) (time.Duration, bool) {
 	delay := max(minDelay, e.hedgeAfter)
 
 	return delay, e.usable && r.Deadline.Sub(now.Add(delay)) >= e.median
--- a/internal/hedger/latency.go
+++ b/internal/hedger/latency.go
@@ -86,14 +86,22 @@
 
 // estimate returns an estimate that is at most updateInterval old.
 func (l *latency) estimate(now timer.Instant, c counts) *estimate {
+	e := l.peek(now, c)
+	if e != l.latest.Load() {
+		l.latest.Store(e)
+	}
+
+	return e
+}
+
+// peek returns what estimate would return, and does not keep it.
+func (l *latency) peek(now timer.Instant, c counts) *estimate {
 	last := l.latest.Load()
 	if now.Sub(last.at) < updateInterval {
 		return last
 	}
-	e := newEstimate(now, c.Requested(now, l.accounts, LatencyWindow), c.Requested(now, l.accounts, recentWindow), last)
-	l.latest.Store(e)
 
-	return e
+	return newEstimate(now, c.Requested(now, l.accounts, LatencyWindow), c.Requested(now, l.accounts, recentWindow), last)
 }
 
 // newEstimate returns the estimate from the counts of each bucket and the estimate before.
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -1,11 +1,13 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
 const (
@@ -112,6 +114,18 @@
 	degraded bool
 }
 
+// profile returns the profile of a request, by the latencies of its route and its service;
+// the lock must be held.
+func (p *Placer) profile(now timer.Instant, c AttemptSpec, route, service *latency) profile {
+	return profile{
+		latency:        route.expected(),
+		latencyGoal:    route.latencyGoal,
+		serviceLatency: cmp.Or(service.expected(), route.expected()),
+		repeatable:     c.Repeatable,
+		degraded:       p.spec.Degraded(now, c.Service),
+	}
+}
+
 // triesAllIdle reports whether idle targets are due whatever their risk is.
 func (p profile) triesAllIdle() bool { return p.degraded || p.repeatable }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +34,8 @@
 	Members(service string) []*registrar.Member
 	// Evacuated returns the evacuated data centres that have targets of the service.
 	Evacuated(service string) []string
+	// EvacuatedMembers returns the targets of the service in those data centres.
+	EvacuatedMembers(service string) []*registrar.Member
 }
 
 type riskSource interface {
@@ -196,16 +197,8 @@
 	l.latencyGoal = cmp.Or(c.LatencyGoal, l.latencyGoal)
 	list, held := p.candidates(now, c)
 	p.holdAll(now, c.Service, held)
-	f := profile{
-		latency:        l.expected(),
-		latencyGoal:    l.latencyGoal,
-		serviceLatency: cmp.Or(latencyOf(p.serviceLatencies, c.Service).expected(), l.expected()),
-		repeatable:     c.Repeatable,
-		degraded:       p.spec.Degraded(now, c.Service),
-	}
-	if p.spec.Assignment != nil && !f.degraded {
-		preferAssigned(list, f, p.spec.Assignment)
-	}
+	f := p.profile(now, c, l, latencyOf(p.serviceLatencies, c.Service))
+	p.prefer(list, f)
 	i := choose(list, p.spec.Random(), f)
 	if i < 0 {
 		return nil, false
@@ -236,13 +229,13 @@
 	members := p.spec.Targets.Members(c.Service)
 	list = make([]candidate, 0, len(members))
 	for _, m := range members {
-		t := m.Target()
-		if !m.Listed(now) || slices.Contains(c.Tried, t.Name()) || now.Before(p.pauseEnd(m.Key())) {
-			continue
-		}
-		if p.mustHold(now, c.Service, m) {
+		switch p.exclusion(now, c, m) {
+		case ExclusionNone:
+		case ExclusionCold:
 			held = append(held, m)
 
+			continue
+		default:
 			continue
 		}
 		risk, age, known := p.spec.Risks.Assess(now, m.Key())
@@ -255,7 +248,7 @@
 			age:    min(age, maxAge),
 			slots:  slotsOf(now, m),
 			open:   float64(p.openPerTarget[m.Key()] + p.spec.RemoteLoad.OpenRequests(m.Key())),
-			local:  t.DataCentre() == p.spec.DataCentre,
+			local:  m.Target().DataCentre() == p.spec.DataCentre,
 
 			rejectionRate: p.rejectionRate(now, m.Key()),
 		})
--- a/internal/placer/preference.go
+++ b/internal/placer/preference.go
@@ -14,6 +14,13 @@
 	Assigned(k estimator.Key) bool
 }
 
+// prefer marks the targets that get trial requests only, where this VM prefers some.
+func (p *Placer) prefer(list []candidate, f profile) {
+	if p.spec.Assignment != nil && !f.degraded {
+		preferAssigned(list, f, p.spec.Assignment)
+	}
+}
+
 // preferAssigned marks targets as reserves, which get trial requests only: all but the
 // targets assigned to this VM that have a free slot, or else all but those of any VM that
 // have one. A target that costs more than the cheapest by preferenceSlack is not preferred.
--- a/internal/placer/room.go
+++ b/internal/placer/room.go
@@ -112,6 +112,18 @@
 	return m.bound
 }
 
+// Peek returns the bound that Capacity would return. It adds no service, and does not count
+// as a request.
+func (r *Rooms) Peek(service string) int {
+	if m, ok := (*r.table.Load())[service]; ok {
+		return m.bound
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.compute(r.spec.Clock.Now(), service, 0).bound
+}
+
 // add computes the bound of a service that is not in the table.
 func (r *Rooms) add(service string) *room {
 	r.mu.Lock()
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -136,7 +136,10 @@
 func (q *Queuer) Demand(service string) (running, waiting int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	s := q.schedulers.of(service)
+	s, known := q.schedulers.find(service)
+	if !known {
+		return 0, 0
+	}
 
 	return s.Running(), s.Waiting()
 }
--- a/internal/queuer/scheduler.go
+++ b/internal/queuer/scheduler.go
@@ -64,9 +64,7 @@
 	s.total = max(1, total)
 	s.arrivals++
 	t.number = s.arrivals
-	if s.startsFree {
-		t.maxDuration = t.deadline.Sub(now) / durationDivisor
-	}
+	t.maxDuration = s.maxDuration(now, t)
 	q := s.serviceQueue(t.service)
 	q.bound = max(1, bound)
 	l := s.level(t.rank)
@@ -78,7 +76,7 @@
 	}
 	q.push(t)
 	l.recordWait(now)
-	if q.waiting > min(s.maxWaiting, q.bound*waitingFactor) {
+	if s.overflows(q) {
 		dropped := q.dropCandidate()
 		s.remove(q, dropped)
 		s.refuse(dropped, ReasonFull, q.estimateWait(dropped, s.level(dropped.rank).interval))
@@ -86,6 +84,21 @@
 	s.dispatch(now)
 }
 
+// maxDuration returns the bound on the running time that is expected of a request that
+// enters, or 0 where there is none.
+func (s *Scheduler) maxDuration(now timer.Instant, t *Ticket) time.Duration {
+	if !s.startsFree {
+		return 0
+	}
+
+	return t.deadline.Sub(now) / durationDivisor
+}
+
+// overflows reports whether more requests wait in the queue than may.
+func (s *Scheduler) overflows(q *serviceQueue) bool {
+	return q.waiting > min(s.maxWaiting, q.bound*waitingFactor)
+}
+
 // Leave ends a request that was started.
 func (s *Scheduler) Leave(now timer.Instant, t *Ticket) {
 	q := s.serviceQueue(t.service)
@@ -133,14 +146,18 @@
 	if q, ok := s.queues[service]; ok {
 		return q
 	}
-	q := &serviceQueue{
+	q := s.newServiceQueue()
+	s.queues[service] = q
+
+	return q
+}
+
+func (s *Scheduler) newServiceQueue() *serviceQueue {
+	return &serviceQueue{
 		bound:      1,
 		flows:      map[flow][]*Ticket{},
 		startsFree: s.startsFree,
 	}
-	s.queues[service] = q
-
-	return q
 }
 
 // indexOf returns the index of the rank's level, or that at which it would be inserted.
--- a/internal/queuer/schedulers.go
+++ b/internal/queuer/schedulers.go
@@ -4,6 +4,8 @@
 type schedulers interface {
 	// of returns the scheduler of the service, which may be new.
 	of(service string) *Scheduler
+	// find returns the scheduler of the service, or false where none was needed yet.
+	find(service string) (*Scheduler, bool)
 	// each calls f with every scheduler and the name of its service.
 	each(f func(service string, s *Scheduler))
 }
@@ -16,6 +18,8 @@
 
 func (s sharedScheduler) of(string) *Scheduler { return s.scheduler }
 
+func (s sharedScheduler) find(string) (*Scheduler, bool) { return s.scheduler, true }
+
 func (s sharedScheduler) each(f func(service string, s *Scheduler)) { f("", s.scheduler) }
 
 // serviceSchedulers maps each service that ever had a request to its scheduler.
@@ -31,6 +35,12 @@
 	return s
 }
 
+func (m serviceSchedulers) find(service string) (*Scheduler, bool) {
+	s, ok := m[service]
+
+	return s, ok
+}
+
 func (m serviceSchedulers) each(f func(service string, s *Scheduler)) {
 	for service, s := range m {
 		f(service, s)
--- a/internal/registrar/evacuation.go
+++ b/internal/registrar/evacuation.go
@@ -49,6 +49,21 @@
 // order of their names. The caller must not change the slice.
 func (r *Registrar) Evacuated(service string) []string { return r.table.Load().evacuated[service] }
 
+// EvacuatedMembers returns the targets of the service in evacuated data centres, in the order
+// of their names. It reads the whole list, and is not meant for the path of a request.
+func (r *Registrar) EvacuatedMembers(service string) []*Member {
+	t := r.table.Load()
+	var list []*Member
+	for _, m := range t.members {
+		if m.entry.service == service && slices.Contains(t.evacuated[service], m.Target().DataCentre()) {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, byName)
+
+	return list
+}
+
 // EvacuatedCount returns the number of listed targets in evacuated data centres.
 func (r *Registrar) EvacuatedCount() int { return r.table.Load().evacuatedCount }
 
--- a/internal/registrar/table.go
+++ b/internal/registrar/table.go
@@ -30,13 +30,14 @@
 		next.add(m, r.evacuations.dataCentres[m.Target().DataCentre()])
 	}
 	for _, list := range next.services {
-		slices.SortFunc(list, func(a, b *Member) int {
-			return strings.Compare(a.Target().Name(), b.Target().Name())
-		})
+		slices.SortFunc(list, byName)
 	}
 	r.table.Store(next)
 }
 
+// byName orders members by the names of their targets.
+func byName(a, b *Member) int { return strings.Compare(a.Target().Name(), b.Target().Name()) }
+
 // add adds a member to its service.
 func (t *table) add(m *Member, evacuated bool) {
 	service := m.entry.service
--- a/internal/retrier/rank.go
+++ b/internal/retrier/rank.go
@@ -132,7 +132,11 @@
 // highest returns the highest rank seen within the window.
 func (t *rankTable) highest(now timer.Instant, service string) Rank {
 	best := lowestRank
-	for _, r := range t.service(service).Load().at(int64(time.Duration(now) / t.period)).highest {
+	seen, known := (*t.services.Load())[service]
+	if !known {
+		return best
+	}
+	for _, r := range seen.Load().at(int64(time.Duration(now) / t.period)).highest {
 		best = higher(best, r)
 	}
 
--- a/internal/splitter/splitter.go
+++ b/internal/splitter/splitter.go
@@ -32,7 +32,13 @@
 
 // Choose returns the name of the service that the next request of the route
 // goes to.
-func (s *Splitter) Choose(r *manifester.Route) string {
+func (s *Splitter) Choose(r *manifester.Route) string { return choose(r, s.nextPosition) }
+
+// Peek returns the service that Choose would return next, and does not move the position of
+// the route. The first service of a route is random, for Peek and Choose alike.
+func (s *Splitter) Peek(r *manifester.Route) string { return choose(r, s.peekPosition) }
+
+func choose(r *manifester.Route, position func(route string) float64) string {
 	shares := r.Shares()
 	if len(shares) == 0 {
 		return r.Service()
@@ -41,7 +47,7 @@
 	for _, h := range shares {
 		total += h.Weight()
 	}
-	at := s.nextPosition(r.Name()) * total
+	at := position(r.Name()) * total
 	for _, h := range shares {
 		if at -= h.Weight(); at < 0 {
 			return h.Service()
@@ -55,12 +61,27 @@
 func (s *Splitter) nextPosition(route string) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	at := s.following(route)
+	s.positions[route] = at
+
+	return at
+}
+
+// peekPosition returns the route's next position and does not move it.
+func (s *Splitter) peekPosition(route string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.following(route)
+}
+
+// following returns the position after the present one; the lock must be held.
+func (s *Splitter) following(route string) float64 {
 	at, ok := s.positions[route]
 	if !ok {
 		at = rand.Float64() //nolint:gosec // Spreads load; it need not be secure.
 	}
 	_, at = math.Modf(at + step)
-	s.positions[route] = at
 
 	return at
 }
--- a/internal/tallier/account.go
+++ b/internal/tallier/account.go
@@ -40,6 +40,8 @@
 	// refuse returns the time after which a refused request may be granted. It may
 	// count the request as one that will be sent again.
 	refuse(f fleet) time.Duration
+	// clone returns a copy that shares no state.
+	clone() limiter
 	// startRound starts a new round.
 	startRound()
 	// recent returns what the fleet requested and used within the span.
--- a/internal/tallier/hedges.go
+++ b/internal/tallier/hedges.go
@@ -50,8 +50,8 @@
 }
 
 // Requested returns for each account what the fleet requested within the span, which the
-// window of its limit bounds; 0 for an account that nothing was counted for. Unlike Recent
-// it creates no account.
+// window of its limit bounds; 0 for an account that nothing was counted for. It
+// creates no account.
 func (t *Tallier) Requested(now timer.Instant, ids []Account, span time.Duration) []float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/tallier/tallier.go
+++ b/internal/tallier/tallier.go
@@ -250,10 +250,14 @@
 }
 
 // Recent returns what the fleet requested and used within the span, which the window
-// of the limit bounds; 0 for an account without a window.
+// of the limit bounds; 0 for an account without a window, or one that nothing was counted
+// for. It creates no account.
 func (t *Tallier) Recent(now timer.Instant, id Account, span time.Duration) (requested, used float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, known := t.accounts[id]; !known {
+		return 0, 0
+	}
 	a, ok := t.account(now, id)
 	if !ok {
 		return 0, 0
