Tell where a request would go now, without sending it

Cause: operators can explain a request that was served, but not ask where one would go, for example while a target is suspect or a data centre is evacuated.

Change: internal/forecaster decides by the filters of the chain on top of the queries; GET /where on the operators' listener encodes the result, and the command where prints it.

--- a/internal/assembler/store_chain.go
+++ b/internal/assembler/store_chain.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
-	"github.com/lagoonkeel/lagoonkeel/internal/splitter"
 	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
 	"github.com/lagoonkeel/lagoonkeel/internal/supervisor"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
@@ -75,7 +74,7 @@
 		filterer.NewReady(v),
 		filterer.NewClosing(v),
 		filterer.NewIdentify(v.adopter, v.dialect),
-		filterer.NewRoute(splitter.New()),
+		filterer.NewRoute(v.splitter),
 		filterer.NewWatch(v.watcher, v.timers),
 		filterer.NewDeadline(v.dialect.Timeout()),
 		filterer.NewQuarantine(v.quarantine),
--- a/internal/assembler/store_vm.go
+++ b/internal/assembler/store_vm.go
@@ -24,6 +24,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
 	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
+	"github.com/lagoonkeel/lagoonkeel/internal/splitter"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 	"github.com/lagoonkeel/lagoonkeel/internal/watcher"
 	"github.com/lagoonkeel/lagoonkeel/platform/adapter"
@@ -45,6 +46,7 @@
 	tallier   *tallier.Tallier
 	watcher   *watcher.Watcher
 	placer    *placer.Placer
+	splitter  *splitter.Splitter
 	// assigner is nil if this VM prefers no targets.
 	assigner *assigner.Assigner
 	pacer    *pacer.Pacer
@@ -80,6 +82,7 @@
 		store:     adapter.NewClient(s.Store(), base.timers),
 		adopter:   adopter.New(adapter.ConfigKey, adapter.DecodeConfig, l),
 		registrar: registrar.New(adapter.DecodeTarget, l),
+		splitter:  splitter.New(),
 	}
 	v.evacuator = evacuator.New(adapter.DecodeEvacuation, v.registrar, l)
 	v.estimator = estimator.New(&suspicionLog{
@@ -115,7 +118,7 @@
 		timers:   v.timers,
 		logger:   l,
 	}
-	v.addControllers(newOperatorServer(operators, v.operatorHandler()))
+	v.addControllers(newOperatorServer(operators, v.withWhere(v.operatorHandler())))
 	if s.Metrics() != "" {
 		ln, err := bind(s.Metrics())
 		if err != nil {
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -59,7 +59,7 @@
 // Lagoonkeel runs the lagoonkeel program and returns its exit code.
 func Lagoonkeel(args []string) int {
 	return run("lagoonkeel", "A proxy fleet in front of upstreams with gray failures.", args,
-		cmdServe, cmdCheck, cmdPublish, cmdEvacuate, cmdStatus, cmdExplain, cmdKey, cmdDemo, cmdVersion)
+		cmdServe, cmdCheck, cmdPublish, cmdEvacuate, cmdStatus, cmdExplain, cmdWhere, cmdKey, cmdDemo, cmdVersion)
 }
 
 // Standin runs the lagoonkeel-standin program and returns its exit code.
--- a/internal/filterer/place.go
+++ b/internal/filterer/place.go
@@ -63,14 +63,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	begun := p.clock.Now()
-	a, ok := p.placer.Begin(begun, placer.AttemptSpec{
-		Service:     x.Service().Name(),
-		Route:       x.Route().Name(),
-		LatencyGoal: x.Route().LatencyGoal(),
-		Tried:       x.Tried(),
-		Repeatable:  x.Idempotent() && len(x.Tried()) == 0,
-		Abandon:     func() { cancel(handler.ErrAbandoned) },
-	})
+	spec := AttemptSpec(x)
+	spec.Abandon = func() { cancel(handler.ErrAbandoned) }
+	a, ok := p.placer.Begin(begun, spec)
 	if !ok {
 		return p.noTarget(begun, x.Service().Name())
 	}
