--- a/internal/assembler/store_where_json.go
+++ b/internal/assembler/store_where_json.go
@@ -78,6 +78,7 @@
 
 type hedgeJSON struct {
 	Sent    bool        `json:"sent"`
+	Reason  string      `json:"reason,omitempty"`
 	AfterMs int64       `json:"afterMs,omitempty"`
 	Budget  *budgetJSON `json:"budget,omitempty"`
 }
@@ -145,6 +146,7 @@
 	if h := f.Hedge(); h != nil {
 		w.Hedge = &hedgeJSON{
 			Sent:    h.Sent(),
+			Reason:  h.Reason(),
 			AfterMs: h.After().Milliseconds(),
 			Budget:  newBudgetJSON(h.Budget()),
 		}
--- a/internal/commander/where_table.go
+++ b/internal/commander/where_table.go
@@ -55,6 +55,7 @@
 	} `json:"retry"`
 	Hedge *struct {
 		Sent    bool         `json:"sent"`
+		Reason  string       `json:"reason"`
 		AfterMs int64        `json:"afterMs"`
 		Budget  *whereBudget `json:"budget"`
 	} `json:"hedge"`
@@ -171,7 +172,7 @@
 	case a.Hedge.Sent:
 		return fmt.Sprintf("sent after %d ms; %v", a.Hedge.AfterMs, a.Hedge.Budget)
 	default:
-		return fmt.Sprintf("not sent; %v", a.Hedge.Budget)
+		return fmt.Sprintf("not sent (%s); %v", a.Hedge.Reason, a.Hedge.Budget)
 	}
 }
 
--- a/internal/forecaster/attempts.go
+++ b/internal/forecaster/attempts.go
@@ -42,10 +42,16 @@
 	p := f.spec.Limits.Preview(now, tallier.HedgeAccount(x.Service().Name()), tallier.Reserve{})
 	retries := f.spec.Limits.Preview(now, tallier.RetryAccount(x.Service().Name()), tallier.Reserve{})
 	out.hedge = &Hedge{
-		sent:   may && p.Allows() && retries.Allows(),
 		budget: newBudget(p),
 	}
-	if may {
+	switch {
+	case !may:
+		out.hedge.reason = "the route, its latencies or the state of the service allow none"
+	case !p.Allows():
+		out.hedge.reason = "the limit of hedges is used up"
+	case !retries.Allows():
+		out.hedge.reason = "the retry budget is used up"
+	default:
 		out.hedge.after = after
 	}
 	out.verdicts = append(out.verdicts, passed("hedge", ""))
--- a/internal/forecaster/forecast.go
+++ b/internal/forecaster/forecast.go
@@ -123,13 +123,17 @@
 
 // Hedge is whether a hedge would be sent.
 type Hedge struct {
-	sent   bool
+	// reason is why none is sent; "" where one is.
+	reason string
 	after  time.Duration
 	budget *Budget
 }
 
 // Sent reports whether a hedge would be sent if the first attempt took long enough.
-func (h Hedge) Sent() bool { return h.sent }
+func (h Hedge) Sent() bool { return h.reason == "" }
+
+// Reason returns why no hedge would be sent, or "".
+func (h Hedge) Reason() string { return h.reason }
 
 // After returns the time after which it would be sent; 0 where none is.
 func (h Hedge) After() time.Duration { return h.after }
