--- a/internal/assembler/store_where.go
+++ b/internal/assembler/store_where.go
@@ -18,6 +18,7 @@
 		Quarantine:   v.quarantine,
 		Limits:       v.tallier,
 		Targets:      v.placer,
+		Registry:     v.registrar,
 		Retries:      v.retries,
 		TimeoutField: v.dialect.Timeout(),
 		Clock:        v.timers,
--- a/internal/assembler/store_where_json.go
+++ b/internal/assembler/store_where_json.go
@@ -6,6 +6,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/forecaster"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
 	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
+	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
 )
 
 // whereJSON tells where a request would go.
@@ -110,6 +111,7 @@
 	w.Rate = newBudgetJSON(f.Rate())
 	w.Queue = newQueueJSON(f.Queue())
 	w.addTargets(f.Targets())
+	w.addEvacuated(f.Evacuated())
 	w.addAttempts(f)
 
 	return w
@@ -136,6 +138,16 @@
 	}
 }
 
+func (w *whereJSON) addEvacuated(members []*registrar.Member) {
+	for _, m := range members {
+		w.Excluded = append(w.Excluded, excludedJSON{
+			Target:     m.Target().Name(),
+			DataCentre: m.Target().DataCentre(),
+			Reason:     "evacuated",
+		})
+	}
+}
+
 func (w *whereJSON) addAttempts(f *forecaster.Forecast) {
 	r := f.Retry()
 	w.Retry = &retryJSON{
--- a/internal/commander/where_table.go
+++ b/internal/commander/where_table.go
@@ -86,19 +86,13 @@
 	err := t.rows(a.facts(o))
 	for _, rows := range [][]string{a.filterRows(), a.candidateRows(), a.excludedRows()} {
 		if len(rows) > 1 { // The first row is the header.
-			err = errors.Join(err, t.gap(), t.rows(rows))
+			err = errors.Join(err, t.rows([]string{""}), t.rows(rows))
 		}
 	}
 
 	return err
 }
 
-func (t *whereTable) gap() error {
-	_, err := fmt.Fprintln(t.out)
-
-	return err
-}
-
 func (t *whereTable) rows(rows []string) error {
 	columns := tabwriter.NewWriter(t.out, 0, 0, columnGap, ' ', 0)
 	lines := &printer{
@@ -177,7 +171,7 @@
 }
 
 func (a *whereAnswer) filterRows() []string {
-	rows := []string{"FILTER\tVERDICT\tREASON"}
+	rows := append(make([]string, 0, 1+len(a.Filters)), "FILTER\tVERDICT\tREASON")
 	for _, f := range a.Filters {
 		reason := cmp.Or(f.Reason, "-")
 		if f.Code != "" {
@@ -190,7 +184,7 @@
 }
 
 func (a *whereAnswer) candidateRows() []string {
-	rows := []string{"CANDIDATE\tDATA CENTRE\tRISK\tOPEN\tCOST\tPROBABILITY\tNOTES"}
+	rows := append(make([]string, 0, 1+len(a.Candidates)), "CANDIDATE\tDATA CENTRE\tRISK\tOPEN\tCOST\tPROBABILITY\tNOTES")
 	for _, c := range a.Candidates {
 		rows = append(rows, fmt.Sprintf("%s\t%s\t%.2f\t%d\t%.2f\t%.3f\t%s",
 			c.Target, c.DataCentre, c.Risk, c.Open, c.Cost, c.Probability, cmp.Or(strings.Join(c.Notes, ", "), "-")))
@@ -200,7 +194,7 @@
 }
 
 func (a *whereAnswer) excludedRows() []string {
-	rows := []string{"NO CANDIDATE\tDATA CENTRE\tREASON"}
+	rows := append(make([]string, 0, 1+len(a.Excluded)), "NO CANDIDATE\tDATA CENTRE\tREASON")
 	for _, e := range a.Excluded {
 		rows = append(rows, fmt.Sprintf("%s\t%s\t%s", e.Target, e.DataCentre, e.Reason))
 	}
--- a/internal/commander/where_test.go
+++ b/internal/commander/where_test.go
@@ -26,7 +26,7 @@
 	}
 	lines := strings.Split(string(stored), "\n")
 	var out bytes.Buffer
-	for _, body := range []string{lines[1], lines[3], string(rich), ""} {
+	for _, body := range []string{lines[3], lines[5], string(rich), ""} {
 		var asked string
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			asked = r.Method + " " + r.URL.String()
--- a/internal/forecaster/attempts.go
+++ b/internal/forecaster/attempts.go
@@ -60,6 +60,7 @@
 // addTargets adds the candidates, and the verdict of the filter that chooses among them.
 func (f *Forecaster) addTargets(now timer.Instant, x *handler.Exchange, out *Forecast) {
 	out.targets = f.spec.Targets.Preview(now, filterer.AttemptSpec(x))
+	out.evacuated = f.spec.Registry.EvacuatedMembers(x.Service().Name())
 	if len(out.targets.Options()) == 0 {
 		out.verdicts = append(out.verdicts, refused("place",
 			handler.NewRefusal(handler.CodeNoTarget, "no target of the service can take the request")))
--- a/internal/forecaster/forecast.go
+++ b/internal/forecaster/forecast.go
@@ -9,6 +9,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
 	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
+	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
@@ -157,6 +158,8 @@
 	// hedge is nil where no request is hedged.
 	hedge   *Hedge
 	targets placer.Preview
+	// evacuated holds the targets of the service in evacuated data centres.
+	evacuated []*registrar.Member
 }
 
 // At returns the instant of the forecast.
@@ -186,9 +189,13 @@
 // Hedge returns whether a hedge would be sent; nil where no request is hedged.
 func (f *Forecast) Hedge() *Hedge { return f.hedge }
 
-// Targets returns the candidates and the other targets of the service.
+// Targets returns the candidates and the other targets of the service, without those in
+// evacuated data centres.
 func (f *Forecast) Targets() placer.Preview { return f.targets }
 
+// Evacuated returns the targets of the service in evacuated data centres.
+func (f *Forecast) Evacuated() []*registrar.Member { return f.evacuated }
+
 // run lets a filter decide, and appends its verdict.
 func (f *Forecast) run(ctx context.Context, filter handler.Filter, x *handler.Exchange) {
 	if err := filter.Handle(ctx, x, end{}); err != nil {
--- a/internal/forecaster/forecaster.go
+++ b/internal/forecaster/forecaster.go
@@ -11,6 +11,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/hedger"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
 	"github.com/lagoonkeel/lagoonkeel/internal/queuer"
+	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -65,6 +66,11 @@
 	Preview(now timer.Instant, s placer.AttemptSpec) placer.Preview
 }
 
+type registry interface {
+	// EvacuatedMembers returns the targets of the service in evacuated data centres.
+	EvacuatedMembers(service string) []*registrar.Member
+}
+
 type retries interface {
 	// PreviewReserve returns the part of the retry budget that a retry must leave unused.
 	PreviewReserve(now timer.Instant, r retrier.RetryState) tallier.Reserve
@@ -87,7 +93,9 @@
 	Queue   waitQueue
 	Rooms   rooms
 	Targets targets
-	Retries retries
+	// Registry knows the targets that the placer does not get to see.
+	Registry registry
+	Retries  retries
 	// Hedges is nil where no request is hedged.
 	Hedges hedges
 	// TimeoutField names the header field with the caller's timeout.
--- a/internal/forecaster/forecaster_test.go
+++ b/internal/forecaster/forecaster_test.go
@@ -131,7 +131,7 @@
 	v.asker = forecaster.New(forecaster.Spec{
 		Manifests: v, Readiness: quietFleet{}, Closer: quietFleet{}, Splitter: v.splitter,
 		Quarantine: quarantiner.New(v, nil, logger.Discard()), Limits: v.tallier, Queue: v.queue, Rooms: v.rooms,
-		Targets: v.placer, Retries: v.retries, Hedges: v.hedger, TimeoutField: "Timeout", Clock: v,
+		Targets: v.placer, Registry: v.targets, Retries: v.retries, Hedges: v.hedger, TimeoutField: "Timeout", Clock: v,
 	})
 	for _, m := range v.targets.Members("bookings") {
 		switch m.Target().Name() {
--- a/internal/forecaster/steps.go
+++ b/internal/forecaster/steps.go
@@ -49,19 +49,20 @@
 
 // afterQuarantine returns the filters from there to the attempts.
 func (s *steps) afterQuarantine() []handler.Filter {
-	list := []handler.Filter{filterer.NewAdmit(&rates{
+	admit := filterer.NewAdmit(&rates{
 		limits: s.spec.Limits,
 		clock:  s.spec.Clock,
 		out:    s.out,
-	}, tracer.Off())}
+	}, tracer.Off())
 	if s.spec.Queue == nil {
-		return list
+		return []handler.Filter{admit}
 	}
-
-	return append(list, filterer.NewQueue(&line{
+	queue := filterer.NewQueue(&line{
 		spec: s.spec,
 		out:  s.out,
-	}, filterer.NewByPriority(s.spec.Clock), s.spec.Clock))
+	}, filterer.NewByPriority(s.spec.Clock), s.spec.Clock)
+
+	return []handler.Filter{admit, queue}
 }
 
 // identify sets the team by its name. It takes the place of the filter that finds the team
--- a/internal/placer/exclusion.go
+++ b/internal/placer/exclusion.go
@@ -16,8 +16,6 @@
 	ExclusionNone Exclusion = ""
 	// ExclusionGone means that the store does not list the target any more.
 	ExclusionGone Exclusion = "gone"
-	// ExclusionEvacuated means that the data centre of the target is evacuated.
-	ExclusionEvacuated Exclusion = "evacuated"
 	// ExclusionTried means that the request had an attempt there.
 	ExclusionTried Exclusion = "tried"
 	// ExclusionPaused means that the target asked this VM for no attempts.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -34,8 +34,6 @@
 	Members(service string) []*registrar.Member
 	// Evacuated returns the evacuated data centres that have targets of the service.
 	Evacuated(service string) []string
-	// EvacuatedMembers returns the targets of the service in those data centres.
-	EvacuatedMembers(service string) []*registrar.Member
 }
 
 type riskSource interface {
--- a/internal/placer/preview.go
+++ b/internal/placer/preview.go
@@ -75,8 +75,7 @@
 // Options returns the candidates in the order of their names.
 func (p Preview) Options() []Option { return p.options }
 
-// Excluded returns the other targets of the service: those that the list of targets names,
-// and then those in evacuated data centres.
+// Excluded returns the other targets of the service, without those in evacuated data centres.
 func (p Preview) Excluded() []Excluded { return p.excluded }
 
 // Degraded reports whether too many of the service's requests are not served.
@@ -121,12 +120,6 @@
 			})
 		}
 	}
-	for _, m := range p.spec.Targets.EvacuatedMembers(c.Service) {
-		list = append(list, Excluded{
-			member: m,
-			reason: ExclusionEvacuated,
-		})
-	}
 
 	return list
 }
