--- a/internal/placer/candidates.go
+++ b/internal/placer/candidates.go
@@ -1,8 +1,6 @@
 package placer
 
 import (
-	"slices"
-
 	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
@@ -14,13 +12,13 @@
 	members := p.spec.Targets.Members(c.Service)
 	list = make([]candidate, 0, len(members))
 	for _, m := range members {
-		t := m.Target()
-		if !m.Listed(now) || slices.Contains(c.Tried, t.Name()) || now.Before(p.pauseEnd(m.Key())) {
-			continue
-		}
-		if p.mustHold(now, c.Service, m) {
+		switch p.exclusion(now, c, m) {
+		case ExclusionNone:
+		case ExclusionCold:
 			held = append(held, m)
 
+			continue
+		default:
 			continue
 		}
 		risk, age, known := p.spec.Risks.Assess(now, m.Key())
@@ -33,7 +31,7 @@
 			age:    min(age, maxAge),
 			slots:  slotsOf(now, m),
 			open:   float64(p.openPerTarget[m.Key()] + p.spec.RemoteLoad.OpenRequests(m.Key())),
-			local:  t.DataCentre() == p.spec.DataCentre,
+			local:  m.Target().DataCentre() == p.spec.DataCentre,
 
 			rejectionRate: p.rejectionRate(now, m.Key()),
 		})
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -133,16 +133,8 @@
 	l.latencyGoal = cmp.Or(c.LatencyGoal, l.latencyGoal)
 	list, held := p.candidates(now, c)
 	p.holdAll(now, c.Service, held)
-	f := profile{
-		latency:        l.expected(),
-		latencyGoal:    l.latencyGoal,
-		serviceLatency: cmp.Or(latencyOf(p.serviceLatencies, c.Service).expected(), l.expected()),
-		repeatable:     c.Repeatable,
-		degraded:       p.spec.Degraded(now, c.Service),
-	}
-	if p.spec.Assignment != nil && !f.degraded {
-		preferAssigned(list, f, p.spec.Assignment)
-	}
+	f := p.profile(now, c, l, latencyOf(p.serviceLatencies, c.Service))
+	p.prefer(list, f)
 	i := choose(list, p.spec.Random(), f)
 	if i < 0 {
 		return nil, false
--- a/internal/placer/preference.go
+++ b/internal/placer/preference.go
@@ -14,6 +14,13 @@
 	Assigned(k estimator.Key) bool
 }
 
+// prefer marks the targets that get trial requests only, where this VM prefers some.
+func (p *Placer) prefer(list []candidate, f profile) {
+	if p.spec.Assignment != nil && !f.degraded {
+		preferAssigned(list, f, p.spec.Assignment)
+	}
+}
+
 // preferAssigned marks the targets that are not preferred as reserves, which get trial
 // requests only. A target is usable if it has a free slot and does not cost more than the
 // cheapest one by over preferenceSlack. The usable targets that are assigned to this VM are
--- a/internal/retrier/rank_table.go
+++ b/internal/retrier/rank_table.go
@@ -82,7 +82,11 @@
 // highest returns the highest rank seen within the window.
 func (t *rankTable) highest(now timer.Instant, service string) ranker.Rank {
 	best := ranker.Lowest()
-	for _, r := range t.service(service).Load().at(int64(time.Duration(now) / t.period)).highest {
+	seen, known := (*t.services.Load())[service]
+	if !known {
+		return best
+	}
+	for _, r := range seen.Load().at(int64(time.Duration(now) / t.period)).highest {
 		best = best.Higher(r)
 	}
 
