Prefer assigned targets only while they are not nearly full

Change: an assigned target is preferred up to 0.7 of its slots and at most 0.03 above the cheapest cost.

--- a/internal/placer/preference.go
+++ b/internal/placer/preference.go
@@ -6,8 +6,14 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
 )
 
-// preferenceSlack is the cost by which a preferred target may exceed the cheapest one.
-const preferenceSlack = temperature
+const (
+	// preferenceSlack is the cost by which a preferred target may exceed the cheapest one.
+	// It is small, so that a VM leaves its own targets once they begin to fail.
+	preferenceSlack = 0.03
+	// maxAssignedLoad is the fraction of its slots, with this request, up to which a target
+	// is preferred because it is assigned to this VM: targets are slower when nearly full.
+	maxAssignedLoad = 0.7
+)
 
 // Assignment tells which targets are assigned to this VM.
 type Assignment interface {
@@ -23,16 +29,18 @@
 
 // preferAssigned marks the targets that are not preferred as reserves, which get trial
 // requests only. A target is usable if it has a free slot and does not cost more than the
-// cheapest one by over preferenceSlack. The usable targets that are assigned to this VM are
-// preferred, or all usable ones where none of them is assigned. Where no target is usable,
-// none is a reserve.
+// cheapest one by over preferenceSlack. The usable targets that are assigned to this VM and
+// are not nearly full are preferred, or all usable ones where there is no such target. Where
+// no target is usable, none is a reserve.
 func preferAssigned(list []candidate, p profile, a Assignment) {
 	lowest := math.Inf(1) // The cost of the cheapest target.
 	for _, c := range list {
 		lowest = math.Min(lowest, c.cost(p))
 	}
 	usable := func(c candidate) bool { return c.open < c.slots && c.cost(p) <= lowest+preferenceSlack }
-	assigned := func(c candidate) bool { return usable(c) && a.Assigned(c.member.Key()) }
+	assigned := func(c candidate) bool {
+		return usable(c) && c.open+1 <= maxAssignedLoad*c.slots && a.Assigned(c.member.Key())
+	}
 	if !reserveOthers(list, assigned) {
 		reserveOthers(list, usable)
 	}
