--- a/internal/gossiper/piece_test.go
+++ b/internal/gossiper/piece_test.go
@@ -82,6 +82,7 @@
 		{"a long record, off", 0, []subscriber.Record{sized(10, 500), sized(11, 3000)}},
 		{"a long record between short ones", 4000, []subscriber.Record{sized(10, 500), sized(11, 3000), sized(12, 500)}},
 		{"a long record alone", 4000, []subscriber.Record{sized(10, 3000)}},
+		{"two long records that are together too long", 4000, []subscriber.Record{sized(10, 3000), sized(11, 3000)}},
 		{"a record that is too long", 4000, []subscriber.Record{sized(10, 500), sized(11, 5000)}},
 		{"no records", 4000, nil},
 	} {
--- a/internal/gossiper/topics.go
+++ b/internal/gossiper/topics.go
@@ -178,10 +178,10 @@
 }
 
 // splitRelays divides records into parts that fit one packet each. It returns nil where
-// a record is too long to be relayed.
+// the records that do not fit a packet are together too long to be relayed.
 func (g *Gossiper) splitRelays(topic uint32, from, to subscriber.Offset, records []subscriber.Record) []relayPart {
 	var parts []relayPart
-	begin, size := 0, 0
+	begin, size, long := 0, 0, 0
 	// closePart ends the part of whole records before the i-th one.
 	closePart := func(i int, end subscriber.Offset) {
 		if begin < i || end > from {
@@ -193,7 +193,10 @@
 	}
 	for i, x := range records {
 		n := len(x.Key()) + len(x.Value())
-		if n > max(maxRelay, g.spec.MaxRelayedRecord) {
+		if n > maxRelay {
+			long += n
+		}
+		if long > g.spec.MaxRelayedRecord { // More at once would overflow the receivers' buffers.
 			return nil
 		}
 		if size+n > maxRelay && i > begin {
