Prefer assigned targets that lack recent evidence

Cause: without evidence the risk of a target grows, soon beyond what a preferred target may cost more than the cheapest. Its own VMs then leave it, and only trials bring it back.

--- a/internal/placer/preference.go
+++ b/internal/placer/preference.go
@@ -13,6 +13,10 @@
 	// maxAssignedLoad is the fraction of its slots, with this request, up to which a target
 	// is preferred because it is assigned to this VM: targets are slower when nearly full.
 	maxAssignedLoad = 0.7
+	// maxStaleRisk is the risk up to which an assigned target without recent evidence is
+	// preferred all the same. A risk grows to about that without evidence, and a target that
+	// its own VMs do not use would get none but by trials.
+	maxStaleRisk = 0.3
 )
 
 // Assignment tells which targets are assigned to this VM.
@@ -30,16 +34,17 @@
 // preferAssigned marks the targets that are not preferred as reserves, which get trial
 // requests only. A target is usable if it has a free slot and does not cost more than the
 // cheapest one by over preferenceSlack. The usable targets that are assigned to this VM and
-// are not nearly full are preferred, or all usable ones where there is no such target. Where
-// no target is usable, none is a reserve.
+// are not nearly full are preferred, as are assigned ones without recent evidence; where there
+// is no such target, all usable ones are. Where no target is usable, none is a reserve.
 func preferAssigned(list []candidate, p profile, a Assignment) {
 	lowest := math.Inf(1) // The cost of the cheapest target.
 	for _, c := range list {
 		lowest = math.Min(lowest, c.cost(p))
 	}
 	usable := func(c candidate) bool { return c.open < c.slots && c.cost(p) <= lowest+preferenceSlack }
+	stale := func(c candidate) bool { return c.local && c.age > idleTime && c.risk <= maxStaleRisk }
 	assigned := func(c candidate) bool {
-		return usable(c) && c.open+1 <= maxAssignedLoad*c.slots && a.Assigned(c.member.Key())
+		return (usable(c) || stale(c)) && c.open+1 <= maxAssignedLoad*c.slots && a.Assigned(c.member.Key())
 	}
 	if !reserveOthers(list, assigned) {
 		reserveOthers(list, usable)
