Share the targets, the placer and the clock of the tests of the placer

Five tests built the same list of targets and the same placer, and two simulations had queues of events of their own. They use simulation_test.go.

--- a/internal/placer/cold_test.go
+++ b/internal/placer/cold_test.go
@@ -6,16 +6,12 @@
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
-	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
-	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
 	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
-	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
 // fixedPacer allows a number of requests to cold targets, and counts the calls.
@@ -45,37 +41,14 @@
 	return 700 * time.Millisecond
 }
 
-// warmingTargets returns a list whose entries are the times for which targets warm up.
-func warmingTargets() *registrar.Registrar {
-	return registrar.New(func(id string, value []byte) (*registrar.Entry, error) {
-		warmUp, err := time.ParseDuration(string(value))
-
-		return registrar.NewEntry(registrar.EntrySpec{
-			Target:  manifester.TargetSpec{Name: id, Address: "10.0.0.1:80", Slots: 4},
-			Service: "bookings",
-			WarmUp:  warmUp,
-		}), errors.Wrap(err, "decoding a test entry")
-	}, logger.Discard())
-}
-
 // TestColdTargets compares which targets get attempts with the golden transcript, while
 // targets are cold, become warm and turn cold again. It guards against requests to cold
 // targets without a token, and against calls of the pacer for warm targets.
 func TestColdTargets(t *testing.T) {
 	var out bytes.Buffer
 	now := timer.Instant(time.Hour)
-	fleet, pacer, targets := &calmFleet{}, &fixedPacer{}, warmingTargets()
-	risks := estimator.New(fleet)
-	p := placer.New(placer.Spec{
-		Targets:    targets,
-		Risks:      risks,
-		Observer:   risks,
-		Reporter:   fleet,
-		RemoteLoad: fleet,
-		Pacer:      pacer,
-		Clock:      timer.NewManual(now),
-		Degraded:   func(timer.Instant, string) bool { return false },
-	})
+	fleet, pacer, targets := &calmFleet{}, &fixedPacer{}, newTargets(now, "bookings", 4)
+	p := newPlacer(fleet, targets, func(s *placer.Spec) { s.Pacer = pacer })
 	offset := subscriber.Offset(0)
 	list := func(id, warmUp string) {
 		offset++
--- a/internal/placer/fleet_test.go
+++ b/internal/placer/fleet_test.go
@@ -1,7 +1,6 @@
 package placer_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -9,12 +8,9 @@
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
-	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
-	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
-	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
 const (
@@ -65,25 +61,6 @@
 	waits                                           []time.Duration
 }
 
-// event is a step of the simulation.
-type event struct {
-	at timer.Instant
-	do func()
-}
-
-type events []event
-
-func (h events) Len() int           { return len(h) }
-func (h events) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h events) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)        { *h = append(*h, x.(event)) } //nolint:forcetypeassert // It holds nothing else.
-func (h *events) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-
-	return last
-}
-
 // simTarget works on up to slots requests and queues up to targetQueue more.
 type simTarget struct {
 	busy   int
@@ -92,10 +69,9 @@
 
 // simFleet is a discrete-event simulation of a fleet, with the decisions of the real code.
 type simFleet struct {
+	simulation
+
 	load    load
-	now     timer.Instant
-	random  *rand.Rand
-	events  events
 	members *registrar.Registrar
 	targets map[string]*simTarget
 	vms     []*simVM
@@ -105,13 +81,6 @@
 	sums []map[estimator.Key]int
 }
 
-func (f *simFleet) Now() timer.Instant                      { return f.now }
-func (f *simFleet) Every(time.Duration) *timer.Subscription { return nil }
-
-func (f *simFleet) after(d time.Duration, do func()) {
-	heap.Push(&f.events, event{at: f.now.Add(d), do: do})
-}
-
 // Risk and Assess make the first targets suspect.
 func (f *simFleet) Risk(_ timer.Instant, k estimator.Key) float64 {
 	return f.risks[k]
@@ -127,24 +96,18 @@
 func newSimFleet(l load) *simFleet {
 	f := &simFleet{
 		load:    l,
-		random:  rand.New(rand.NewPCG(20261206, uint64(l.vms))),
 		targets: map[string]*simTarget{},
 		risks:   map[estimator.Key]float64{},
 		results: make([]result, len(l.kinds)),
-		members: registrar.New(func(id string, _ []byte) (*registrar.Entry, error) {
-			return registrar.NewEntry(registrar.EntrySpec{
-				Target:  manifester.TargetSpec{Name: id, Address: "10.0.0.1:80", Slots: slots},
-				Service: service,
-			}), nil
-		}, logger.Discard()),
 	}
-	var records []subscriber.Record
+	f.random = rand.New(rand.NewPCG(20261206, uint64(l.vms)))
+	var ids []string
 	for i := range l.targets {
 		id := fmt.Sprintf("t%02d", i)
 		f.targets[id] = &simTarget{}
-		records = append(records, subscriber.NewRecord(id, []byte("-"), subscriber.Offset(i+1)))
+		ids = append(ids, id)
 	}
-	f.members.Replace(0, records)
+	f.members = newTargets(0, service, slots, ids...)
 	for i, m := range f.members.Members(service) {
 		f.risks[m.Key()] = 0.01
 		if float64(i) < l.suspect*float64(l.targets) {
@@ -205,11 +168,7 @@
 
 // run simulates the load and returns what became of the requests of each kind.
 func (f *simFleet) run() string {
-	for f.events[0].at < timer.Instant(simulatedFor) {
-		e, _ := heap.Pop(&f.events).(event)
-		f.now = e.at
-		e.do()
-	}
+	f.runUntil(timer.Instant(simulatedFor))
 	var out strings.Builder
 	for i, s := range f.results {
 		slices.Sort(s.waits)
--- a/internal/placer/pause_test.go
+++ b/internal/placer/pause_test.go
@@ -9,51 +9,17 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
-	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
-	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
-	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
-	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
-// calmFleet stands for the other VMs, which report nothing. It records what the placer
-// reports to them.
-type calmFleet struct {
-	reported []estimator.Outcome
-}
-
-func (f *calmFleet) ReportOutcome(_ estimator.Key, o estimator.Outcome) {
-	f.reported = append(f.reported, o)
-}
-
-func (f *calmFleet) OpenRequests(estimator.Key) int { return 0 }
-
-func (f *calmFleet) SuspicionChanged(estimator.SuspicionChange) {}
-
 // TestPauses compares which targets may get attempts with the golden transcript, after a
 // target had no capacity, asked for a pause or stated that it is about to stop.
 func TestPauses(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	fleet := &calmFleet{}
-	targets := registrar.New(func(id string, _ []byte) (*registrar.Entry, error) {
-		return registrar.NewEntry(registrar.EntrySpec{
-			Target:  manifester.TargetSpec{Name: id, Address: "10.0.0.1:80", Slots: 4},
-			Service: "bookings",
-		}), nil
-	}, logger.Discard())
-	targets.Replace(now, []subscriber.Record{subscriber.NewRecord("a", []byte("-"), 1), subscriber.NewRecord("b", []byte("-"), 2)})
-	risks := estimator.New(fleet)
-	p := placer.New(placer.Spec{
-		Targets:    targets,
-		Risks:      risks,
-		Observer:   risks,
-		Reporter:   fleet,
-		Leaving:    targets,
-		RemoteLoad: fleet,
-		Clock:      timer.NewService(),
-		Degraded:   func(timer.Instant, string) bool { return false },
-	})
+	targets := newTargets(now, "bookings", 4, "a", "b")
+	p := newPlacer(fleet, targets)
 	var out bytes.Buffer
 	attempt := func(tried ...string) (*placer.Attempt, bool) {
 		return p.Begin(now, placer.AttemptSpec{Service: "bookings", Route: "r", Tried: tried})
--- a/internal/placer/rejection_test.go
+++ b/internal/placer/rejection_test.go
@@ -2,22 +2,16 @@
 
 import (
 	"bytes"
-	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
-	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/placer"
-	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
-	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
-	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
 // The load of TestOneTargetRejects: 44 VMs send 349 requests a second to ten targets with 8
@@ -56,62 +50,33 @@
 // rejectionFleet simulates VMs whose reports arrive after a delay.
 type rejectionFleet struct {
 	calmFleet
+	simulation
 
-	now    timer.Instant
-	queue  []scheduled
-	random *rand.Rand
-	vms    []*rejectionVM
+	vms []*rejectionVM
 	// attempts counts, by half second, all attempts and those at the first target.
 	attempts, first [int(rejectingEnd / reportEvery)]int
 }
 
-type scheduled struct {
-	at  timer.Instant
-	run func()
-}
-
-// after schedules a function; of those due at once, the one scheduled first runs first.
-func (f *rejectionFleet) after(d time.Duration, run func()) {
-	e := scheduled{at: f.now.Add(d), run: run}
-	i, _ := slices.BinarySearchFunc(f.queue, e, func(a, b scheduled) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), -1)
-	})
-	f.queue = slices.Insert(f.queue, i, e)
-}
-
 func newRejectionFleet(uses bool, reportDelay time.Duration) *rejectionFleet {
-	f := &rejectionFleet{
-		random: rand.New(rand.NewPCG(44, 349)), //nolint:gosec // A test.
-	}
-	list := registrar.New(func(id string, _ []byte) (*registrar.Entry, error) {
-		return registrar.NewEntry(registrar.EntrySpec{
-			Target:  manifester.TargetSpec{Name: id, Address: "10.0.0.1:80", Slots: 8},
-			Service: "bookings",
-		}), nil
-	}, logger.Discard())
+	f := &rejectionFleet{}
+	f.random = rand.New(rand.NewPCG(44, 349)) //nolint:gosec // A test.
+	var ids []string
 	for i := range rejectingTargets {
-		list.Update(0, []subscriber.Record{subscriber.NewRecord(fmt.Sprintf("t%d", i), []byte("-"), subscriber.Offset(i))})
+		ids = append(ids, fmt.Sprintf("t%d", i))
 	}
+	list := newTargets(0, "bookings", 8, ids...)
 	for i := range rejectingVMs {
 		v := &rejectionVM{
 			fleet:      f,
 			risks:      estimator.New(f),
 			rejections: estimator.NewRejections(),
 		}
-		s := placer.Spec{
-			Targets:    list,
-			Risks:      v.risks,
-			Observer:   v.risks,
-			Reporter:   v,
-			Leaving:    list,
-			RemoteLoad: f,
-			Random:     f.random.Float64,
-			Degraded:   func(timer.Instant, string) bool { return false },
-		}
-		if uses {
-			s.Rejections = v.rejections
-		}
-		v.placer = placer.New(s)
+		v.placer = newPlacer(&f.calmFleet, list, func(s *placer.Spec) {
+			s.Risks, s.Observer, s.Reporter, s.Random = v.risks, v.risks, v, f.random.Float64
+			if uses {
+				s.Rejections = v.rejections
+			}
+		})
 		f.vms = append(f.vms, v)
 		f.after(reportEvery*time.Duration(i)/rejectingVMs, func() { v.report(reportDelay) })
 		f.after(0, v.arrive)
@@ -163,15 +128,6 @@
 	f.after(took, func() { v.placer.End(f.now, a, r) })
 }
 
-func (f *rejectionFleet) run() {
-	for len(f.queue) > 0 && f.queue[0].at < timer.Instant(rejectingEnd) {
-		e := f.queue[0]
-		f.queue = f.queue[1:]
-		f.now = e.at
-		e.run()
-	}
-}
-
 // share returns the percentage of the attempts from the first to the second instant that
 // went to the first target.
 func (f *rejectionFleet) share(from, to time.Duration) float64 {
@@ -199,7 +155,7 @@
 		{"rejection rates used, reports late by 1.5 s", true, 1500 * time.Millisecond},
 	} {
 		f := newRejectionFleet(c.uses, c.delay)
-		f.run()
+		f.runUntil(timer.Instant(rejectingEnd))
 		fmt.Fprintf(&out, "%s\n", c.name)
 		for at := time.Duration(0); at < rejectingEnd; at += reportEvery {
 			fmt.Fprintf(&out, "  %4.1f s: %4.1f\n", at.Seconds(), f.share(at, at+reportEvery))
--- /dev/null
+++ b/internal/placer/simulation_test.go
@@ -0,0 +1,106 @@
+package placer_test
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
+	"github.com/lagoonkeel/lagoonkeel/internal/placer"
+	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
+	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
+	"github.com/lagoonkeel/lagoonkeel/internal/timer"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
+)
+
+// calmFleet stands for the other VMs, which report nothing. It records what the placer
+// reports to them.
+type calmFleet struct {
+	reported []estimator.Outcome
+}
+
+func (f *calmFleet) ReportOutcome(_ estimator.Key, o estimator.Outcome) {
+	f.reported = append(f.reported, o)
+}
+
+func (f *calmFleet) OpenRequests(estimator.Key) int { return 0 }
+
+func (f *calmFleet) SuspicionChanged(estimator.SuspicionChange) {}
+
+// newTargets returns a list of warm targets of a service. The value of an entry is the time
+// for which its target warms up.
+func newTargets(now timer.Instant, service string, slots int, ids ...string) *registrar.Registrar {
+	list := registrar.New(func(id string, value []byte) (*registrar.Entry, error) {
+		warmUp, err := time.ParseDuration(string(value))
+
+		return registrar.NewEntry(registrar.EntrySpec{
+			Target:  manifester.TargetSpec{Name: id, Address: "10.0.0.1:80", Slots: slots},
+			Service: service,
+			WarmUp:  warmUp,
+		}), errors.Wrap(err, "decoding a test entry")
+	}, logger.Discard())
+	var records []subscriber.Record
+	for i, id := range ids {
+		records = append(records, subscriber.NewRecord(id, []byte("0s"), subscriber.Offset(i+1)))
+	}
+	list.Replace(now, records)
+
+	return list
+}
+
+// newPlacer returns a placer of the targets with the changes to its specification.
+func newPlacer(fleet *calmFleet, targets *registrar.Registrar, changes ...func(s *placer.Spec)) *placer.Placer {
+	risks := estimator.New(fleet)
+	s := placer.Spec{
+		Targets:    targets,
+		Risks:      risks,
+		Observer:   risks,
+		Reporter:   fleet,
+		Leaving:    targets,
+		RemoteLoad: fleet,
+		Clock:      timer.NewService(),
+		Degraded:   func(timer.Instant, string) bool { return false },
+	}
+	for _, change := range changes {
+		change(&s)
+	}
+
+	return placer.New(s)
+}
+
+// event is a step of a simulation.
+type event struct {
+	at timer.Instant
+	do func()
+}
+
+// simulation runs events in the order of their instants.
+type simulation struct {
+	now    timer.Instant
+	events []event
+	random *rand.Rand
+}
+
+func (s *simulation) Now() timer.Instant                      { return s.now }
+func (s *simulation) Every(time.Duration) *timer.Subscription { return nil }
+
+// after schedules a step; of those due at once, the one scheduled first runs first.
+func (s *simulation) after(d time.Duration, do func()) {
+	e := event{at: s.now.Add(d), do: do}
+	i, _ := slices.BinarySearchFunc(s.events, e, func(a, b event) int { return cmp.Or(cmp.Compare(a.at, b.at), -1) })
+	s.events = slices.Insert(s.events, i, e)
+}
+
+// runUntil runs the steps before the end.
+func (s *simulation) runUntil(end timer.Instant) {
+	for len(s.events) > 0 && s.events[0].at < end {
+		e := s.events[0]
+		s.events = s.events[1:]
+		s.now = e.at
+		e.do()
+	}
+}
