Simulate the loads of the placer beside each other and shorten four tests

The loads of TestFleet of the placer are parallel subtests. The simulations of the placer share a heap that keeps the order of steps due at once; a sorted list made TestFleet several times slower with -race. The simulation of the hedger needs no heap for its few events.

--- a/internal/filterer/hedge_test.go
+++ b/internal/filterer/hedge_test.go
@@ -319,7 +319,8 @@
 	var states []retrier.RetryState
 	policy := &recordingRepeat{states: &states}
 	x := newExchange(true, 0)
-	err := filterer.NewRepeat(policy, timer.NewManual(0)).Handle(t.Context(), x, bothReset{})
+	both := bothFail{fault: handler.FaultReset, refusal: handler.NewUnknownOutcome(handler.CodeUpstream, "reset")}
+	err := filterer.NewRepeat(policy, timer.NewManual(0)).Handle(t.Context(), x, both)
 	if got := result(x, err); got != "unknown upstream-failed" {
 		t.Error(got)
 	}
@@ -341,17 +342,20 @@
 	return handler.StopAttempts
 }
 
-// bothReset is the end of a chain whose hedged attempts are both reset by their targets.
-type bothReset struct{}
+// bothFail is the end of a chain whose hedged attempts at the targets a and b both fail.
+type bothFail struct {
+	fault   handler.Fault
+	refusal *handler.Refusal
+}
 
-func (bothReset) Serve(_ context.Context, x *handler.Exchange) error {
+func (b bothFail) Serve(_ context.Context, x *handler.Exchange) error {
 	var forks []*handler.Fork
 	for _, name := range []string{"a", "b"} {
 		f := x.Fork(forks...)
 		forks = append(forks, f)
 		target := manifester.NewTarget(manifester.TargetSpec{Name: name})
 		f.Exchange().SetTarget(target)
-		f.Exchange().SetAttempt(handler.NewFailedAttempt(target, handler.FaultReset, handler.NewUnknownOutcome(handler.CodeUpstream, "reset")))
+		f.Exchange().SetAttempt(handler.NewFailedAttempt(target, b.fault, b.refusal))
 	}
 	for _, f := range forks {
 		x.AddEnded(f)
@@ -360,3 +364,23 @@
 
 	return x.Attempt().Err()
 }
+
+// TestRejectionsOfHedges checks that the rejections of both attempts of a hedged request
+// count for the pressure on its service. Otherwise hedges would hide that targets reject
+// requests.
+func TestRejectionsOfHedges(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	policy := newSpaced(now, false)
+	f := filterer.NewSpacedRepeat(policy, noPauses{}, &promptClock{Manual: timer.NewManual(now)})
+	both := bothFail{fault: handler.FaultShed, refusal: handler.NewRefusal(handler.CodeShed, "shed")}
+	for range 2 {
+		x := newExchange(true, now)
+		x.SetDeadline(now) // No time is left for a retry.
+		if err := f.Handle(t.Context(), x, both); err == nil {
+			t.Fatal("the request was served")
+		}
+	}
+	if !policy.UnderPressure(now, "bookings") {
+		t.Error("the service is not under pressure after four rejections")
+	}
+}
--- a/internal/hedger/hedger_test.go
+++ b/internal/hedger/hedger_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -65,27 +65,11 @@
 	do func()
 }
 
-// events is a heap by instant.
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) } //nolint:forcetypeassert // Only events are pushed.
-
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-
-	return last
-}
-
 // simulation sends requests of which each runs at one of ten targets, by a clock of its own.
 type simulation struct {
 	hedger  *hedger.Hedger
 	tallier *tallier.Tallier
-	events  events
+	events  []event
 	now     timer.Instant
 	rng     *rand.Rand
 	// latency draws the latency of an attempt at a target.
@@ -111,8 +95,11 @@
 	return s
 }
 
+// after schedules a step; of those due at once, the one scheduled first runs first.
 func (s *simulation) after(d time.Duration, do func()) {
-	heap.Push(&s.events, event{at: s.now.Add(d), do: do})
+	e := event{at: s.now.Add(d), do: do}
+	i, _ := slices.BinarySearchFunc(s.events, e, func(a, b event) int { return cmp.Or(cmp.Compare(a.at, b.at), -1) })
+	s.events = slices.Insert(s.events, i, e)
 }
 
 // send sends one request, and hedges it if the hedger says so.
@@ -168,8 +155,9 @@
 	}
 	s.after(0, arrive)
 	s.after(0, report)
-	for s.events.Len() > 0 {
-		e := heap.Pop(&s.events).(event) //nolint:forcetypeassert // Only events are pushed.
+	for len(s.events) > 0 {
+		e := s.events[0]
+		s.events = s.events[1:]
 		s.now = e.at
 		e.do()
 	}
@@ -276,37 +264,39 @@
 func TestConditions(t *testing.T) {
 	var out bytes.Buffer
 	for _, c := range []struct {
-		name         string
-		samples      int
-		retries      float64
-		degraded     bool
-		change       func(r *hedger.Request)
-		requestsEach int
+		name     string
+		samples  int
+		retries  float64
+		requests int
+		degraded bool
+		change   func(r *hedger.Request)
 	}{
-		{"hedged", 100, 1000, false, func(*hedger.Request) {}, 1000},
-		{"39 samples", 39, 1000, false, func(*hedger.Request) {}, 1000},
-		{"40 samples", 40, 1000, false, func(*hedger.Request) {}, 1000},
-		{"the service is degraded", 100, 1000, true, func(*hedger.Request) {}, 1000},
-		{"the retry budget is used up", 100, 0, false, func(*hedger.Request) {}, 1000},
-		{"the limit of hedges is used up", 100, 1000, false, func(*hedger.Request) {}, 1},
-		{"may run only once", 100, 1000, false, func(r *hedger.Request) { r.Idempotent = false }, 1000},
-		{"the route allows one attempt", 100, 1000, false, func(r *hedger.Request) { r.Limit = 1 }, 1000},
-		{"the attempts are used up", 100, 1000, false, func(r *hedger.Request) { r.Attempts, r.MayHaveRun = 2, 2 }, 1000},
-		{"too little time after the delay", 100, 1000, false, func(r *hedger.Request) { r.Deadline = r.Deadline.Add(60*time.Millisecond - timeout) }, 1000},
+		{"hedged", 100, 1000, 1000, false, nil},
+		{"39 samples", 39, 1000, 1000, false, nil},
+		{"40 samples", 40, 1000, 1000, false, nil},
+		{"the service is degraded", 100, 1000, 1000, true, nil},
+		{"the retry budget is used up", 100, 0, 1000, false, nil},
+		{"the limit of hedges is used up", 100, 1000, 1, false, nil},
+		{"may run only once", 100, 1000, 1000, false, func(r *hedger.Request) { r.Idempotent = false }},
+		{"the route allows one attempt", 100, 1000, 1000, false, func(r *hedger.Request) { r.Limit = 1 }},
+		{"the attempts are used up", 100, 1000, 1000, false, func(r *hedger.Request) { r.Attempts, r.MayHaveRun = 2, 2 }},
+		{"too little time after the delay", 100, 1000, 1000, false, func(r *hedger.Request) { r.Deadline = r.Deadline.Add(60*time.Millisecond - timeout) }},
 	} {
 		now := timer.Instant(time.Hour)
 		limits := accountLimits{share: 0.02, extraRetries: c.retries}
 		counts := tallier.New(now, limits)
 		h := hedger.New(counts, func(timer.Instant, string) bool { return c.degraded })
 		now = now.Add(hedgeWindow + time.Second)
-		for range c.requestsEach {
+		for range c.requests {
 			h.Begin(now, "s")
 		}
 		for range c.samples {
 			h.Record(now, "r", 30*time.Millisecond)
 		}
 		r := request(now)
-		c.change(&r)
+		if c.change != nil {
+			c.change(&r)
+		}
 		delay, ok := h.Delay(now, r)
 		allowed := ok && h.Allow(now.Add(delay), r)
 		fmt.Fprintf(&out, "%s: may be hedged %v, after %v; hedged %v", c.name, ok, delay, allowed)
--- a/internal/placer/room_test.go
+++ b/internal/placer/room_test.go
@@ -65,11 +65,16 @@
 	} {
 		t.Run(file, func(t *testing.T) {
 			t.Parallel()
-			var out strings.Builder
-			for _, l := range loads {
-				out.WriteString(l.name + "\n" + newSimFleet(l).run())
-			}
-			goldie.New(t).Assert(t, file, []byte(out.String()))
+			texts := make([]string, len(loads))
+			t.Run("loads", func(t *testing.T) {
+				for i, l := range loads {
+					t.Run(l.name, func(t *testing.T) {
+						t.Parallel()
+						texts[i] = l.name + "\n" + newSimFleet(l).run()
+					})
+				}
+			})
+			goldie.New(t).Assert(t, file, []byte(strings.Join(texts, "")))
 		})
 	}
 }
--- a/internal/placer/simulation_test.go
+++ b/internal/placer/simulation_test.go
@@ -1,9 +1,8 @@
 package placer_test
 
 import (
-	"cmp"
+	"container/heap"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -72,34 +71,50 @@
 	return placer.New(s)
 }
 
-// event is a step of a simulation.
+// event is a step of a simulation. Of the steps due at once, the one with the lowest number
+// runs first.
 type event struct {
-	at timer.Instant
-	do func()
+	at     timer.Instant
+	number int
+	do     func()
+}
+
+type events []event
+
+func (h events) Len() int      { return len(h) }
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].number < h[j].number
+}
+func (h *events) Push(x any) { *h = append(*h, x.(event)) } //nolint:forcetypeassert // It holds nothing else.
+func (h *events) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+
+	return last
 }
 
 // simulation runs events in the order of their instants.
 type simulation struct {
 	now    timer.Instant
-	events []event
-	random *rand.Rand
+	events events
+	// scheduled counts the steps.
+	scheduled int
+	random    *rand.Rand
 }
 
 func (s *simulation) Now() timer.Instant                      { return s.now }
 func (s *simulation) Every(time.Duration) *timer.Subscription { return nil }
 
-// after schedules a step; of those due at once, the one scheduled first runs first.
 func (s *simulation) after(d time.Duration, do func()) {
-	e := event{at: s.now.Add(d), do: do}
-	i, _ := slices.BinarySearchFunc(s.events, e, func(a, b event) int { return cmp.Or(cmp.Compare(a.at, b.at), -1) })
-	s.events = slices.Insert(s.events, i, e)
+	s.scheduled++
+	heap.Push(&s.events, event{at: s.now.Add(d), number: s.scheduled, do: do})
 }
 
 // runUntil runs the steps before the end.
 func (s *simulation) runUntil(end timer.Instant) {
 	for len(s.events) > 0 && s.events[0].at < end {
-		e := s.events[0]
-		s.events = s.events[1:]
+		e, _ := heap.Pop(&s.events).(event)
 		s.now = e.at
 		e.do()
 	}
