--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -23,8 +23,23 @@
 // heardVMs are the other VMs that one VM hears.
 type heardVMs []string
 
-// HeardIn returns the VMs, which are all in one data centre.
-func (h heardVMs) HeardIn(string) []string { return h }
+// HeardIn returns a copy of the VMs, which are all in one data centre.
+func (h *heardVMs) HeardIn(string) []string { return slices.Clone(*h) }
+
+// newTargets returns a list of targets with entries of the form "dataCentre started".
+func newTargets() *registrar.Registrar {
+	return registrar.New(func(id string, value []byte) (*registrar.Entry, error) {
+		var dataCentre string
+		var started int64
+		_, err := fmt.Sscan(string(value), &dataCentre, &started)
+
+		return registrar.NewEntry(registrar.EntrySpec{
+			Target:        manifester.TargetSpec{Name: id, Address: "10.0.0.1:80", DataCentre: dataCentre, Slots: 2},
+			Service:       "quotes",
+			StartedMillis: started,
+		}), errors.Wrap(err, "decoding a test entry")
+	}, logger.Discard())
+}
 
 // fleet is the VMs of one data centre and the targets of one service there.
 type fleet struct {
@@ -33,25 +48,13 @@
 }
 
 func newFleet(vms, targets int) *fleet {
-	f := &fleet{
-		targets: registrar.New(func(id string, _ []byte) (*registrar.Entry, error) {
-			return registrar.NewEntry(registrar.EntrySpec{
-				Target: manifester.TargetSpec{
-					Name:       id,
-					Address:    "10.0.0.1:80",
-					DataCentre: "east",
-					Slots:      2,
-				},
-				Service: "quotes",
-			}), nil
-		}, logger.Discard()),
-	}
+	f := &fleet{targets: newTargets()}
 	for i := range vms {
 		f.vms = append(f.vms, fmt.Sprintf("10.1.0.%d:7000", i+1))
 	}
 	records := make([]subscriber.Record, targets)
 	for i := range records {
-		records[i] = subscriber.NewRecord(fmt.Sprintf("target-%d", i), []byte("-"), subscriber.Offset(i))
+		records[i] = subscriber.NewRecord(fmt.Sprintf("target-%d", i), []byte("east 1"), subscriber.Offset(i))
 	}
 	f.targets.Replace(timer.Instant(time.Hour), records)
 
@@ -71,7 +74,7 @@
 		a := assigner.New(assigner.Spec{
 			Self:       self,
 			DataCentre: "east",
-			Fleet:      heard,
+			Fleet:      &heard,
 			Targets:    f.targets,
 		})
 		a.Update()
@@ -155,40 +158,12 @@
 	c.Registrar.EachService(f)
 }
 
-// changingVMs are the other VMs that one VM hears at present.
-type changingVMs struct {
-	heard []string
-}
-
-// HeardIn returns a copy of the VMs, which are all in one data centre.
-func (c *changingVMs) HeardIn(string) []string { return slices.Clone(c.heard) }
-
-// zoned decodes an entry of the form "dataCentre started".
-func zoned(id string, value []byte) (*registrar.Entry, error) {
-	var dataCentre string
-	var started int64
-	if _, err := fmt.Sscan(string(value), &dataCentre, &started); err != nil {
-		return nil, errors.Wrap(err, "decoding a test entry")
-	}
-
-	return registrar.NewEntry(registrar.EntrySpec{
-		Target: manifester.TargetSpec{
-			Name:       id,
-			Address:    "10.0.0.1:80",
-			DataCentre: dataCentre,
-			Slots:      2,
-		},
-		Service:       "quotes",
-		StartedMillis: started,
-	}), nil
-}
-
 // TestChanges guards against a cost that grows with the fleet in each period although
 // nothing has changed, and against an assignment that misses a change.
 func TestChanges(t *testing.T) {
 	now := timer.Instant(time.Hour)
-	targets := &countedTargets{Registrar: registrar.New(zoned, logger.Discard())}
-	vms := &changingVMs{}
+	targets := &countedTargets{Registrar: newTargets()}
+	vms := &heardVMs{}
 	spec := assigner.Spec{
 		Self:       "10.1.0.1:7000",
 		DataCentre: "east",
@@ -212,10 +187,10 @@
 		}},
 		{"no change", func() {}},
 		{"targets write their entries again", func() { list("a", "east 1"); list("b", "east 1") }},
-		{"other VMs are heard", func() { vms.heard = []string{"10.1.0.2:7000", "10.1.0.3:7000", "10.1.0.4:7000"} }},
-		{"in another order", func() { slices.Reverse(vms.heard) }},
-		{"another VM instead of one", func() { vms.heard[0] = "10.1.0.5:7000" }},
-		{"no other VM is heard", func() { vms.heard = nil }},
+		{"other VMs are heard", func() { *vms = heardVMs{"10.1.0.2:7000", "10.1.0.3:7000", "10.1.0.4:7000"} }},
+		{"in another order", func() { slices.Reverse(*vms) }},
+		{"another VM instead of one", func() { (*vms)[0] = "10.1.0.5:7000" }},
+		{"no other VM is heard", func() { *vms = nil }},
 		{"a target starts again", func() { list("a", "east 2") }},
 		{"a target moves to another data centre", func() { list("b", "west 1") }},
 		{"a target leaves", func() { targets.MarkLeaving(now, targets.Members("quotes")[3].Key()) }},
--- a/internal/filterer/hedge_test.go
+++ b/internal/filterer/hedge_test.go
@@ -68,6 +68,13 @@
 	subscribed chan struct{}
 }
 
+func newSignalingClock() *signalingClock {
+	return &signalingClock{
+		Manual:     timer.NewManual(timer.Instant(time.Hour)),
+		subscribed: make(chan struct{}, 1),
+	}
+}
+
 func (c *signalingClock) After(d time.Duration) *timer.Subscription {
 	defer func() { c.subscribed <- struct{}{} }()
 
@@ -157,7 +164,7 @@
 	t.Helper()
 	r := &hedgedRequest{
 		t:      t,
-		clock:  &signalingClock{Manual: timer.NewManual(timer.Instant(time.Hour)), subscribed: make(chan struct{}, 1)},
+		clock:  newSignalingClock(),
 		policy: p,
 		memory: reserver.New(memory),
 		log:    &bytes.Buffer{},
--- a/internal/filterer/spacing_test.go
+++ b/internal/filterer/spacing_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,10 +15,12 @@
 
 	"github.com/lagoonkeel/lagoonkeel/internal/filterer"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
+	"github.com/lagoonkeel/lagoonkeel/internal/logger"
 	"github.com/lagoonkeel/lagoonkeel/internal/retrier"
 	"github.com/lagoonkeel/lagoonkeel/internal/tallier"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/internal/watcher"
+	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
 // spacingLimits allows two retries of each service in any ten seconds, and counts attempts.
@@ -112,7 +116,7 @@
 				if left := x.Deadline().Sub(clock.Now()); retryAfter > left/4 {
 					t.Errorf("%s: Retry-After %v with %v left", c.name, retryAfter, left)
 				}
-				if r != nil && s.mayHaveRun() && (r.Outcome() == handler.OutcomeNotRun || retryAfter > 0) {
+				if r != nil && slices.ContainsFunc(c.attempts[:s.used], (*handler.Attempt).MayHaveRun) && (r.Outcome() == handler.OutcomeNotRun || retryAfter > 0) {
 					t.Errorf("%s: a request that may have run is refused as %v with Retry-After %v", c.name, r.Outcome(), retryAfter)
 				}
 			}
@@ -121,45 +125,17 @@
 	goldie.New(t).Assert(t, "spaced_repeat", out.Bytes())
 }
 
-// mayHaveRun reports whether one of the attempts made may have run the request.
-func (s *scriptedAttempts) mayHaveRun() bool {
-	for _, a := range s.attempts[:s.used] {
-		if a.MayHaveRun() {
-			return true
-		}
-	}
-
-	return false
-}
-
-// announcingClock tells when a wait has begun.
-type announcingClock struct {
-	*timer.Manual
-
-	waiting chan struct{}
-}
-
-func (c *announcingClock) After(d time.Duration) *timer.Subscription {
-	s := c.Manual.After(d)
-	close(c.waiting)
-
-	return s
-}
-
 // TestCallerLeavesWhileRetryWaits guards against a retry, or a use of the retry budget, for
 // a caller who has left while the retry waited.
 func TestCallerLeavesWhileRetryWaits(t *testing.T) {
-	clock := &announcingClock{
-		Manual:  timer.NewManual(timer.Instant(time.Hour)),
-		waiting: make(chan struct{}),
-	}
+	clock := newSignalingClock()
 	policy := newSpaced(clock.Now(), true)
 	x := newExchange(true, clock.Now())
 	s := &scriptedAttempts{attempts: []*handler.Attempt{rejected(), rejected()}}
 	ctx, leave := context.WithCancel(t.Context())
 	done := make(chan error)
 	go func() { done <- filterer.NewSpacedRepeat(policy, noPauses{}, clock).Handle(ctx, x, s) }()
-	<-clock.waiting
+	<-clock.subscribed
 	clock.Advance(50 * time.Millisecond)
 	leave()
 	if err := <-done; err == nil {
@@ -174,3 +150,44 @@
 		}
 	})
 }
+
+// TestJournalOfSpacedRetries checks that the log line of a request tells why and for how
+// long its retry waited, and has neither attribute where the service is not under pressure.
+func TestJournalOfSpacedRetries(t *testing.T) {
+	target := manifester.NewTarget(manifester.TargetSpec{Name: "i-1"})
+	for _, pressed := range []bool{true, false} {
+		clock := &promptClock{Manual: timer.NewManual(timer.Instant(time.Hour))}
+		x := newExchange(true, clock.Now())
+		refusal := handler.NewRefusal(handler.CodeShed, "shed")
+		s := &scriptedAttempts{attempts: []*handler.Attempt{
+			handler.NewFailedAttempt(target, handler.FaultShed, refusal),
+			handler.NewCompletedAttempt(target, handler.NewResponse(200, nil)),
+		}}
+		var out bytes.Buffer
+		chain := handler.NewChain(
+			filterer.NewJournal(logger.New(&out, logger.FormatLogfmt, "vm-1"), "Id", clock),
+			filterer.NewSpacedRepeat(newSpaced(clock.Now(), pressed), noPauses{}, clock),
+			&last{next: s},
+		)
+		if err := chain.Serve(context.Background(), x); err != nil {
+			t.Fatal(err)
+		}
+		const want = `retryDelayMs=120 retryBasis="rejected=11 attempts=11 rank=0/0 highest=0/0"`
+		if got := out.String(); strings.Contains(got, want) != pressed || strings.Contains(got, "retryDelay") != pressed {
+			t.Errorf("pressure %v: the line is %s", pressed, got)
+		}
+	}
+}
+
+// last is the last filter of a chain.
+type last struct {
+	next handler.Handler
+}
+
+// Name returns the filter's name.
+func (*last) Name() string { return "last" }
+
+// Handle passes the exchange on.
+func (l *last) Handle(ctx context.Context, x *handler.Exchange, _ handler.Handler) error {
+	return l.next.Serve(ctx, x)
+}
--- a/internal/prover/holding_test.go
+++ b/internal/prover/holding_test.go
@@ -184,46 +184,26 @@
 		a, b, c []holdingReading
 	}{
 		{
-			name: "the ranges of a are taken over between its reading and those of b and c, sum 345",
-			a:    []holdingReading{at(0, 10, 3, 89), unanswered(20, 3020)},
-			b:    []holdingReading{at(0, 10, 3, 83), at(3300, 3310, 3, 128)},
-			c:    []holdingReading{at(0, 10, 3, 84), at(3300, 3310, 3, 128)},
+			"the ranges of a are taken over between its reading and those of b and c, sum 345",
+			[]holdingReading{at(0, 10, 3, 89), unanswered(20, 3020)},
+			[]holdingReading{at(0, 10, 3, 83), at(3300, 3310, 3, 128)},
+			[]holdingReading{at(0, 10, 3, 84), at(3300, 3310, 3, 128)},
 		},
 		{
-			name: "the ranges of a are taken over during its reading",
-			a:    []holdingReading{at(20, 3400, 3, 89)},
-			b:    []holdingReading{at(0, 10, 3, 83), at(3300, 3310, 3, 128), at(3500, 3510, 3, 128)},
-			c:    []holdingReading{at(0, 10, 3, 84), at(3300, 3310, 3, 128), at(3500, 3510, 3, 128)},
+			"the ranges of a are taken over during its reading",
+			[]holdingReading{at(20, 3400, 3, 89)},
+			[]holdingReading{at(0, 10, 3, 83), at(3300, 3310, 3, 128), at(3500, 3510, 3, 128)},
+			[]holdingReading{at(0, 10, 3, 84), at(3300, 3310, 3, 128), at(3500, 3510, 3, 128)},
 		},
+		{"a acts on an expired lease in one reading", []holdingReading{at(0, 5, 3, 0), at(110, 190, 2, 89), at(200, 205, 3, 0)}, steady(128), steady(128)},
+		{"a holds one range of b in one reading", []holdingReading{at(210, 220, 2, 1)}, steady(128), steady(128)},
+		{"a and b hold the same ranges for long", steady(89), steady(172), steady(0)},
+		{"every range has one holder", steady(89), steady(83), steady(84)},
 		{
-			name: "a acts on an expired lease in one reading",
-			a:    []holdingReading{at(0, 5, 3, 0), at(110, 190, 2, 89), at(200, 205, 3, 0)},
-			b:    steady(128),
-			c:    steady(128),
-		},
-		{
-			name: "a holds one range of b in one reading",
-			a:    []holdingReading{at(210, 220, 2, 1)},
-			b:    steady(128),
-			c:    steady(128),
-		},
-		{
-			name: "a and b hold the same ranges for long",
-			a:    steady(89),
-			b:    steady(172),
-			c:    steady(0),
-		},
-		{
-			name: "every range has one holder",
-			a:    steady(89),
-			b:    steady(83),
-			c:    steady(84),
-		},
-		{
-			name: "b has equal counts in two epochs, and c does not answer",
-			a:    []holdingReading{at(110, 190, 3, 89)},
-			b:    []holdingReading{at(100, 105, 3, 172), at(200, 205, 4, 172)},
-			c:    []holdingReading{at(0, 5, 3, 84), unanswered(100, 150), at(200, 205, 3, 84)},
+			"b has equal counts in two epochs, and c does not answer",
+			[]holdingReading{at(110, 190, 3, 89)},
+			[]holdingReading{at(100, 105, 3, 172), at(200, 205, 4, 172)},
+			[]holdingReading{at(0, 5, 3, 84), unanswered(100, 150), at(200, 205, 3, 84)},
 		},
 	} {
 		found, complete := findDoubleHolding([]*holdingHistory{{vm: "a", readings: c.a}, {vm: "b", readings: c.b}, {vm: "c", readings: c.c}})
--- a/internal/retrier/spaced_retrier_test.go
+++ b/internal/retrier/spaced_retrier_test.go
@@ -18,26 +18,34 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/watcher"
 )
 
-// pressureLimits allows ten retries of each service in any ten seconds, and counts attempts.
-type pressureLimits struct{}
+// spacedLimits limits the retries of the service s, and counts its attempts.
+type spacedLimits struct {
+	retries tallier.Limit
+}
 
 // Limit returns the limit of the retries or of the attempts of the service s.
-func (pressureLimits) Limit(a tallier.Account) (tallier.Limit, bool) {
+func (l spacedLimits) Limit(a tallier.Account) (tallier.Limit, bool) {
 	if a == tallier.RetryAccount("s") {
-		return tallier.NewRatio(0, 10, 10*time.Second), true
+		return l.retries, true
 	}
 
 	return tallier.NewRatio(1, 0, watcher.PressureWindow), a == tallier.ShedAccount("s")
 }
 
+// newSpaced returns a policy of a VM that makes ten retries of each service in any ten
+// seconds. The random numbers for its delays are all the same.
+func newSpaced(window time.Duration, random float64) (*retrier.SpacedRetrier, *tallier.Tallier) {
+	budget := tallier.New(0, spacedLimits{retries: tallier.NewRatio(0, 10, 10*time.Second)})
+
+	return retrier.NewSpacedRetrier(budget, watcher.NewPressure(budget), window, func() float64 { return random }), budget
+}
+
 // TestPlanRetry compares the delays, and the reasons why no retry follows, with the golden
 // transcript. It guards against delays without rejections, against delays that use up the
 // time left, and against a reserve that keeps requests of the highest rank from a retry.
 func TestPlanRetry(t *testing.T) {
 	now := timer.Instant(time.Minute)
-	budget := tallier.New(0, pressureLimits{})
-	half := func() float64 { return 0.5 }
-	r := retrier.NewSpacedRetrier(budget, watcher.NewPressure(budget), 10*time.Second, half)
+	r, budget := newSpaced(10*time.Second, 0.5)
 	shed := failed(handler.FaultShed, true)
 	served := handler.NewCompletedAttempt(nil, handler.NewResponse(200, nil))
 	var out bytes.Buffer
@@ -96,8 +104,7 @@
 // TestHighestRankForgotten guards against a reserve for a rank that sends no requests any
 // more: the retries of all others would be refused for nothing.
 func TestHighestRankForgotten(t *testing.T) {
-	budget := tallier.New(0, pressureLimits{})
-	r := retrier.NewSpacedRetrier(budget, watcher.NewPressure(budget), 10*time.Second, func() float64 { return 0 })
+	r, _ := newSpaced(10*time.Second, 0)
 	shed := failed(handler.FaultShed, true)
 	low := ranker.New(1, 0)
 	basis := func(now timer.Instant) string {
@@ -127,8 +134,7 @@
 // TestRankWithoutWindow guards against a division by zero on the path of a request where
 // the settings were built without an allowance, whose window is 0.
 func TestRankWithoutWindow(t *testing.T) {
-	budget := tallier.New(0, pressureLimits{})
-	r := retrier.NewSpacedRetrier(budget, watcher.NewPressure(budget), 0, func() float64 { return 0 })
+	r, _ := newSpaced(0, 0)
 	now := timer.Instant(time.Hour)
 	r.NoteRank(now, "s", ranker.New(0, 0))
 	if p := r.PlanRetry(now, retrier.RetryState{
--- a/internal/retrier/spacing_fleet_test.go
+++ b/internal/retrier/spacing_fleet_test.go
@@ -42,19 +42,6 @@
 	budgetWindow  = 10 * time.Second
 )
 
-// fleetLimits resolves the limits of the service s.
-type fleetLimits struct{}
-
-// Limit returns the limit of the retries, or the one by which attempts are counted.
-func (fleetLimits) Limit(a tallier.Account) (tallier.Limit, bool) {
-	l := retrier.NewAllowance(budgetRatio, budgetExtra, budgetWindow)
-	if a == tallier.RetryAccount("s") {
-		return tallier.NewRatio(l.PerRequest(), l.Extra(), l.Window()), true
-	}
-
-	return tallier.NewRatio(1, 0, watcher.PressureWindow), a == tallier.ShedAccount("s")
-}
-
 // spacingVM is one VM; spaced is nil without the setting.
 type spacingVM struct {
 	tallier  *tallier.Tallier
@@ -98,9 +85,11 @@
 		random: rand.New(rand.NewPCG(seed, fleetVMs)), //nolint:gosec // A test.
 		delay:  delay,
 	}
+	l := retrier.NewAllowance(budgetRatio, budgetExtra, budgetWindow)
+	budget := tallier.NewRatio(l.PerRequest(), l.Extra(), l.Window())
 	for i := range fleetVMs {
 		v := &spacingVM{
-			tallier:  tallier.New(0, fleetLimits{}),
+			tallier:  tallier.New(0, spacedLimits{retries: budget}),
 			reported: map[tallier.Account]tallier.Count{},
 		}
 		v.shared = retrier.NewSharedRetrier(v.tallier)
