--- a/internal/evacuator/writer_test.go
+++ b/internal/evacuator/writer_test.go
@@ -34,29 +34,19 @@
 	clock     *timer.Manual
 	faults    []string
 	evacuated bool
-	// late is executed at the end of the next call; nil for none.
+	// late is executed at the end of the next call.
 	late func()
 }
 
-func (f *fakeTopic) fault() string {
-	if len(f.faults) == 0 {
-		return "unsent"
-	}
-	next := f.faults[0]
-	f.faults = f.faults[1:]
-
-	return next
-}
-
 // call makes a call that has the effect, with the next fault.
 func (f *fakeTopic) call(name string, effect func()) error {
-	fault := f.fault()
-	fmt.Fprintf(&f.out, "  %s: %s\n", name, fault)
-	late := f.late
-	f.late = nil
-	if late != nil {
-		defer late()
+	fault := "unsent"
+	if len(f.faults) > 0 {
+		fault, f.faults = f.faults[0], f.faults[1:]
 	}
+	fmt.Fprintf(&f.out, "  %s: %s\n", name, fault)
+	defer f.late()
+	f.late = func() {}
 	switch fault {
 	case "ok":
 		effect()
@@ -105,6 +95,15 @@
 	return s
 }
 
+func newFakeTopic(evacuated bool, faults string) *fakeTopic {
+	return &fakeTopic{
+		clock:     timer.NewManual(1),
+		faults:    strings.Fields(faults),
+		evacuated: evacuated,
+		late:      func() {},
+	}
+}
+
 // TestWriter compares the calls of a writer with the golden transcript. It guards against a
 // record that is missing although the command reported success, and against a command that
 // writes again before it knows whether its record is there.
@@ -132,11 +131,7 @@
 		{"no name", false, false, "", "ok"},
 		{"a name that is too long", false, false, strings.Repeat("n", 252), "ok"},
 	} {
-		f := &fakeTopic{
-			clock:     timer.NewManual(1),
-			faults:    strings.Fields(c.faults),
-			evacuated: c.evacuated,
-		}
+		f := newFakeTopic(c.evacuated, c.faults)
 		w := evacuator.NewWriter(f, encode, f, time.Second)
 		change := w.Begin
 		if c.undo {
@@ -151,7 +146,7 @@
 // TestWriterStops checks that a command that is interrupted reports that the result is not
 // known.
 func TestWriterStops(t *testing.T) {
-	f := &fakeTopic{clock: timer.NewManual(1)}
+	f := newFakeTopic(false, "")
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err := evacuator.NewWriter(f, func(name string) string { return name }, f.clock, time.Second).Begin(ctx, "north")
--- a/internal/placer/preference_test.go
+++ b/internal/placer/preference_test.go
@@ -52,13 +52,7 @@
 	} {
 		list := make([]candidate, len(members))
 		for i, m := range members {
-			list[i] = candidate{
-				member: m,
-				risk:   0.01,
-				slots:  4,
-				open:   1,
-				local:  true,
-			}
+			list[i] = candidate{member: m, risk: 0.01, slots: 4, open: 1, local: true}
 		}
 		c.change(list)
 		preferAssigned(list, p, assigned)
@@ -76,11 +70,7 @@
 func listedMembers() []*registrar.Member {
 	targets := registrar.New(func(id string, _ []byte) (*registrar.Entry, error) {
 		return registrar.NewEntry(registrar.EntrySpec{
-			Target: manifester.TargetSpec{
-				Name:    id,
-				Address: "10.0.0.1:80",
-				Slots:   4,
-			},
+			Target:  manifester.TargetSpec{Name: id, Address: "10.0.0.1:80", Slots: 4},
 			Service: "quotes",
 		}), nil
 	}, logger.Discard())
