--- a/internal/placer/cold_test.go
+++ b/internal/placer/cold_test.go
@@ -47,7 +47,7 @@
 func TestColdTargets(t *testing.T) {
 	var out bytes.Buffer
 	now := timer.Instant(time.Hour)
-	fleet, pacer, targets := &calmFleet{}, &fixedPacer{}, newTargets(now, "bookings", 4)
+	fleet, pacer, targets := &calmFleet{}, &fixedPacer{}, placer.NewTargets(now, "bookings", 4)
 	p := newPlacer(fleet, targets, func(s *placer.Spec) { s.Pacer = pacer })
 	offset := subscriber.Offset(0)
 	list := func(id, warmUp string) {
--- a/internal/placer/fleet_test.go
+++ b/internal/placer/fleet_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
+	"github.com/lagoonkeel/lagoonkeel/internal/placer"
 	"github.com/lagoonkeel/lagoonkeel/internal/ranker"
 	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
@@ -107,7 +108,7 @@
 		f.targets[id] = &simTarget{}
 		ids = append(ids, id)
 	}
-	f.members = newTargets(0, service, slots, ids...)
+	f.members = placer.NewTargets(0, service, slots, ids...)
 	for i, m := range f.members.Members(service) {
 		f.risks[m.Key()] = 0.01
 		if float64(i) < l.suspect*float64(l.targets) {
--- a/internal/placer/preference_test.go
+++ b/internal/placer/preference_test.go
@@ -9,11 +9,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/lagoonkeel/lagoonkeel/internal/estimator"
-	"github.com/lagoonkeel/lagoonkeel/internal/logger"
-	"github.com/lagoonkeel/lagoonkeel/internal/registrar"
-	"github.com/lagoonkeel/lagoonkeel/internal/subscriber"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
-	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
 
 // assignedTargets are the targets that are assigned to a VM.
@@ -26,7 +22,7 @@
 // that each target gets.
 func TestPreferAssigned(t *testing.T) {
 	p := profile{latency: 100 * time.Millisecond, serviceLatency: 100 * time.Millisecond, latencyGoal: 400 * time.Millisecond}
-	members := listedMembers()
+	members := NewTargets(timer.Instant(time.Hour), "quotes", 4, "a", "b", "c", "d").Members("quotes")
 	assigned := assignedTargets{members[0].Key(): true, members[1].Key(): true}
 	var out bytes.Buffer
 	for _, c := range []struct {
@@ -65,20 +61,3 @@
 	}
 	goldie.New(t).Assert(t, "assigned", out.Bytes())
 }
-
-// listedMembers returns four targets of one service.
-func listedMembers() []*registrar.Member {
-	targets := registrar.New(func(id string, _ []byte) (*registrar.Entry, error) {
-		return registrar.NewEntry(registrar.EntrySpec{
-			Target:  manifester.TargetSpec{Name: id, Address: "10.0.0.1:80", Slots: 4},
-			Service: "quotes",
-		}), nil
-	}, logger.Discard())
-	var records []subscriber.Record
-	for i, id := range []string{"a", "b", "c", "d"} {
-		records = append(records, subscriber.NewRecord(id, []byte("-"), subscriber.Offset(i)))
-	}
-	targets.Replace(timer.Instant(time.Hour), records)
-
-	return targets.Members("quotes")
-}
--- a/internal/placer/rejection_test.go
+++ b/internal/placer/rejection_test.go
@@ -64,7 +64,7 @@
 	for i := range rejectingTargets {
 		ids = append(ids, fmt.Sprintf("t%d", i))
 	}
-	list := newTargets(0, "bookings", 8, ids...)
+	list := placer.NewTargets(0, "bookings", 8, ids...)
 	for i := range rejectingVMs {
 		v := &rejectionVM{
 			fleet:      f,
