Run the two simulations of the placer beside each other

TestFleet and TestOneTargetRejects ran one after the other. go test -race of the placer takes 49 s of processor time, 24 s on a machine with load 25. Golden files are unchanged.

--- a/internal/placer/rejection_test.go
+++ b/internal/placer/rejection_test.go
@@ -144,6 +144,7 @@
 // most requests, or that does not use it soon after it has recovered. The golden file has
 // the percentage of the attempts that the target gets in each half second.
 func TestOneTargetRejects(t *testing.T) {
+	t.Parallel()
 	var out bytes.Buffer
 	for _, c := range []struct {
 		name  string
--- a/internal/placer/room_test.go
+++ b/internal/placer/room_test.go
@@ -24,6 +24,7 @@
 // TestFleet compares what becomes of the requests of a simulated fleet with the golden
 // files. 41 targets of 6 slots that work for 100 ms serve 2460 requests/s.
 func TestFleet(t *testing.T) {
+	t.Parallel()
 	for file, loads := range map[string][]load{
 		// Guards against requests that wait although the service has room.
 		"half-used": {
