--- a/internal/placer/room_test.go
+++ b/internal/placer/room_test.go
@@ -24,6 +24,7 @@
 // TestFleet compares what becomes of the requests of a simulated fleet with the golden
 // files. 41 targets of 6 slots that work for 100 ms serve 2460 requests/s.
 func TestFleet(t *testing.T) {
+	t.Parallel()
 	for file, loads := range map[string][]load{
 		// Guards against requests that wait although the service has room.
 		"half-used": {
@@ -65,11 +66,16 @@
 	} {
 		t.Run(file, func(t *testing.T) {
 			t.Parallel()
-			var out strings.Builder
-			for _, l := range loads {
-				out.WriteString(l.name + "\n" + newSimFleet(l).run())
-			}
-			goldie.New(t).Assert(t, file, []byte(out.String()))
+			texts := make([]string, len(loads))
+			t.Run("loads", func(t *testing.T) {
+				for i, l := range loads {
+					t.Run(l.name, func(t *testing.T) {
+						t.Parallel()
+						texts[i] = l.name + "\n" + newSimFleet(l).run()
+					})
+				}
+			})
+			goldie.New(t).Assert(t, file, []byte(strings.Join(texts, "")))
 		})
 	}
 }
