Name unexported parts after what they hold

Cause: some names and comments misled a reader who does not know the code. In the placer, reserve meant a target with trial requests only, while the tallier uses the word for an unused part of a budget; census, line and peeker are not terms of the field; median was a quantile beside a field median that is a time; the pace called tokens per second a share.

Change: trialOnly, slotUse, uncounted, queueQuery, rateQuery, splitQuery, medianQuantile and perSecond. census.go of the placer is usage.go. Two copies of maps use maps.Clone. The comment of Budget.Left no longer describes Part. No behavior changes.

--- a/internal/forecaster/forecast.go
+++ b/internal/forecaster/forecast.go
@@ -99,7 +99,7 @@
 // Allowed reports whether one more use is allowed.
 func (b *Budget) Allowed() bool { return b.allowed }
 
-// Left returns what the fleet may still use, and Part what this VM may in this round.
+// Left returns what the fleet may still use.
 func (b *Budget) Left() float64 { return b.left }
 
 // Part returns what this VM may still use in the present round.
--- a/internal/forecaster/steps.go
+++ b/internal/forecaster/steps.go
@@ -39,7 +39,7 @@
 			source: s.spec.Manifests,
 			team:   s.request.Team,
 		},
-		filterer.NewRoute(&peeker{
+		filterer.NewRoute(&splitQuery{
 			splitter: s.spec.Splitter,
 		}),
 	}
@@ -49,7 +49,7 @@
 
 // afterQuarantine returns the filters from there to the attempts.
 func (s *steps) afterQuarantine() []handler.Filter {
-	admit := filterer.NewAdmit(&rates{
+	admit := filterer.NewAdmit(&rateQuery{
 		limits: s.spec.Limits,
 		clock:  s.spec.Clock,
 		out:    s.out,
@@ -57,7 +57,7 @@
 	if s.spec.Queue == nil {
 		return []handler.Filter{admit}
 	}
-	queue := filterer.NewQueue(&line{
+	queue := filterer.NewQueue(&queueQuery{
 		spec: s.spec,
 		out:  s.out,
 	}, filterer.NewByPriority(s.spec.Clock), s.spec.Clock)
@@ -86,23 +86,23 @@
 	return next.Serve(ctx, x)
 }
 
-// peeker chooses a service and leaves the position of the route as it is.
-type peeker struct {
+// splitQuery chooses a service and leaves the position of the route as it is.
+type splitQuery struct {
 	splitter splitter
 }
 
 // Choose returns the service that the next request goes to.
-func (p *peeker) Choose(r *manifester.Route) string { return p.splitter.Peek(r) }
+func (p *splitQuery) Choose(r *manifester.Route) string { return p.splitter.Peek(r) }
 
-// rates decides as the rate limit of the team does, and counts nothing.
-type rates struct {
+// rateQuery decides as the rate limit of the team does, and counts nothing.
+type rateQuery struct {
 	limits limits
 	clock  clock
 	out    *Forecast
 }
 
 // Admit returns whether the team's rate allows one more request.
-func (r *rates) Admit(_ context.Context, _ timer.Instant, team *manifester.Team) admitter.Verdict {
+func (r *rateQuery) Admit(_ context.Context, _ timer.Instant, team *manifester.Team) admitter.Verdict {
 	p := r.limits.PreviewAcquire(r.clock.Now(), tallier.TeamAccount(team.Name()))
 	r.out.rate = newBudget(p)
 	if p.Allows() {
@@ -112,14 +112,14 @@
 	return admitter.Refused(time.Duration(0))
 }
 
-// line decides as the queue does, and lets nothing wait.
-type line struct {
+// queueQuery decides as the queue does, and lets nothing wait.
+type queueQuery struct {
 	spec Spec
 	out  *Forecast
 }
 
 // Enter returns whether the request would be started.
-func (l *line) Enter(_ context.Context, t *queuer.Ticket) queuer.Verdict {
+func (l *queueQuery) Enter(_ context.Context, t *queuer.Ticket) queuer.Verdict {
 	p := l.spec.Queue.Preview(t, l.spec.Rooms.Peek(l.out.service.Name()))
 	l.out.queue = &p
 
@@ -127,4 +127,4 @@
 }
 
 // Leave does nothing, as nothing entered.
-func (*line) Leave(*queuer.Ticket) {}
+func (*queueQuery) Leave(*queuer.Ticket) {}
--- a/internal/hedger/latency.go
+++ b/internal/hedger/latency.go
@@ -21,10 +21,10 @@
 	minSamples = 40
 	// hedgeQuantile is the quantile of the latency after which a hedge is sent.
 	hedgeQuantile = 0.95
-	// A service is slow everywhere while the median of the last recentWindow exceeds
-	// slowQuantile of LatencyWindow.
-	median       = 0.5
-	slowQuantile = 0.8
+	// A service is slow everywhere while the median latency of the last recentWindow
+	// exceeds the slowQuantile of the last LatencyWindow.
+	medianQuantile = 0.5
+	slowQuantile   = 0.8
 	// stalledFraction is the fraction of the average rate of responses below which a
 	// service counts as slow everywhere: its slow requests have not ended yet.
 	stalledFraction = 0.25
@@ -114,14 +114,14 @@
 		return e
 	}
 	e.hedgeAfter = quantile(all, total, hedgeQuantile)
-	e.median = quantile(all, total, median)
+	e.median = quantile(all, total, medianQuantile)
 	e.bound = quantile(all, total, slowQuantile)
 	if last.slowSince != 0 && now.Sub(last.slowSince) < LatencyWindow {
 		e.slowSince = last.slowSince
 		e.bound = min(e.bound, last.bound)
 	}
 	average := total * recentWindow.Seconds() / LatencyWindow.Seconds()
-	e.usable = lately >= stalledFraction*average && quantile(recent, lately, median) <= e.bound
+	e.usable = lately >= stalledFraction*average && quantile(recent, lately, medianQuantile) <= e.bound
 	switch {
 	case e.usable:
 		e.slowSince = 0
--- a/internal/pacer/bucket.go
+++ b/internal/pacer/bucket.go
@@ -31,8 +31,8 @@
 
 // pace is how often a VM gets a token for one cold target.
 type pace struct {
-	// share is in tokens per second; above 0.
-	share float64
+	// perSecond is the number of tokens per second; above 0.
+	perSecond float64
 	// lifetime is the time after which an unused token is lost; 0 where it is kept, and
 	// no other one comes before it is used.
 	lifetime time.Duration
@@ -42,11 +42,11 @@
 func newPace(rate, vms float64) pace {
 	if vms <= smallFleet {
 		return pace{
-			share: rate / vms,
+			perSecond: rate / vms,
 		}
 	}
 	p := pace{
-		share: usedShare * rate / vms,
+		perSecond: usedShare * rate / vms,
 	}
 	if vms > spareTokens+spareShare*rate {
 		p.lifetime = seconds((heldTokens + heldShare*rate) / (usedShare * rate))
@@ -92,11 +92,11 @@
 
 		return b
 	}
-	b.level += p.share * now.Sub(b.updated).Seconds()
+	b.level += p.perSecond * now.Sub(b.updated).Seconds()
 	b.updated = now
 	if b.level >= 1 {
 		b.level -= math.Floor(b.level)
-		b.filledAt = now.Add(-seconds(b.level / p.share))
+		b.filledAt = now.Add(-seconds(b.level / p.perSecond))
 	}
 	if p.lifetime > 0 && b.full() && now.Sub(b.filledAt) > p.lifetime {
 		b.filledAt = 0
@@ -111,5 +111,5 @@
 		return 0
 	}
 
-	return seconds((1 - b.level) / p.share)
+	return seconds((1 - b.level) / p.perSecond)
 }
--- a/internal/placer/bound.go
+++ b/internal/placer/bound.go
@@ -42,9 +42,9 @@
 func (u usage) bound() float64 {
 	room := networkFactor * u.slots * float64(u.heard) / float64(u.known)
 	running := u.countedRunning()
-	apart := float64(u.running) - running
+	uncounted := float64(u.running) - running
 	if u.heard <= 1 { // The last reports of VMs that are no longer heard do not count.
-		return math.Max(minBound, room) + apart
+		return math.Max(minBound, room) + uncounted
 	}
 	waiting := float64(u.waiting)
 	free := room - u.othersOpen - running
@@ -56,7 +56,7 @@
 		share = room * u.demand / (u.demand + u.othersOpen + u.othersWaiting)
 	}
 
-	return math.Max(minBound, math.Max(running+free, share)) + apart
+	return math.Max(minBound, math.Max(running+free, share)) + uncounted
 }
 
 // countedRunning returns the number of running requests that take counted slots.
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -65,9 +65,9 @@
 	local bool
 	// trial is set where the weight of the target was raised because it is idle.
 	trial bool
-	// reserve is set where the target gets trial requests only, since this VM prefers
+	// trialOnly is set where the target gets trial requests only, since this VM prefers
 	// others.
-	reserve bool
+	trialOnly bool
 }
 
 // due reports whether the target is idle and should get a trial request. The bound is
@@ -178,7 +178,7 @@
 // baseWeight returns the weight of a target whose cost exceeds the lowest by excess,
 // without the trials.
 func (c candidate) baseWeight(excess float64) float64 {
-	if c.reserve {
+	if c.trialOnly {
 		return 0
 	}
 
@@ -193,7 +193,7 @@
 	lowest := math.Inf(1)
 	for i, c := range list {
 		costs[i] = c.cost(p)
-		if !c.reserve {
+		if !c.trialOnly {
 			lowest = math.Min(lowest, costs[i])
 		}
 	}
--- a/internal/placer/preference.go
+++ b/internal/placer/preference.go
@@ -31,11 +31,11 @@
 	}
 }
 
-// preferAssigned marks the targets that are not preferred as reserves, which get trial
-// requests only. A target is usable if it has a free slot and does not cost more than the
-// cheapest one by over preferenceSlack. The usable targets that are assigned to this VM and
-// are not nearly full are preferred, as are assigned ones without recent evidence; where there
-// is no such target, all usable ones are. Where no target is usable, none is a reserve.
+// preferAssigned marks the targets that are not preferred, which get trial requests only. A
+// target is usable if it has a free slot and costs at most preferenceSlack more than the
+// cheapest one. The usable targets that are assigned to this VM and are not nearly full are
+// preferred, as are assigned ones without recent evidence; where there is no such target, all
+// usable ones are. Where no target is usable, none is marked.
 func preferAssigned(list []candidate, p profile, a Assignment) {
 	lowest := math.Inf(1) // The cost of the cheapest target.
 	for _, c := range list {
@@ -46,22 +46,22 @@
 	assigned := func(c candidate) bool {
 		return (usable(c) || stale(c)) && c.open+1 <= maxAssignedLoad*c.slots && a.Assigned(c.member.Key())
 	}
-	if !reserveOthers(list, assigned) {
-		reserveOthers(list, usable)
+	if !limitOthersToTrials(list, assigned) {
+		limitOthersToTrials(list, usable)
 	}
 }
 
-// reserveOthers marks the targets that are not preferred as reserves, if any is preferred.
-// It reports whether one is.
-func reserveOthers(list []candidate, preferred func(c candidate) bool) bool {
+// limitOthersToTrials marks the targets that are not preferred as trial-only, if any is
+// preferred. It reports whether one is.
+func limitOthersToTrials(list []candidate, preferred func(c candidate) bool) bool {
 	found := false
 	for i := range list {
-		list[i].reserve = !preferred(list[i])
-		found = found || !list[i].reserve
+		list[i].trialOnly = !preferred(list[i])
+		found = found || !list[i].trialOnly
 	}
 	if !found {
 		for i := range list {
-			list[i].reserve = false
+			list[i].trialOnly = false
 		}
 	}
 
--- a/internal/placer/preview.go
+++ b/internal/placer/preview.go
@@ -51,7 +51,7 @@
 func (o Option) Trial() bool { return o.candidate.trial }
 
 // Reserve reports whether the target gets trial requests only, since this VM prefers others.
-func (o Option) Reserve() bool { return o.candidate.reserve }
+func (o Option) Reserve() bool { return o.candidate.trialOnly }
 
 // Excluded is a target of the service that Begin would not choose.
 type Excluded struct {
--- a/internal/placer/room.go
+++ b/internal/placer/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -132,10 +133,7 @@
 	if m, ok := old[service]; ok {
 		return m
 	}
-	next := make(map[string]*room, len(old)+1)
-	for name, m := range old {
-		next[name] = m
-	}
+	next := maps.Clone(old)
 	m := r.compute(r.spec.Clock.Now(), service, 0)
 	next[service] = m
 	r.table.Store(&next)
--- a/internal/placer/census.go
+++ b/internal/placer/usage.go
@@ -20,15 +20,15 @@
 	warmUpFactor = 0.5
 )
 
-// census sums up targets of a service.
-type census struct {
+// slotUse sums up the slots of targets of a service and the open requests at them.
+type slotUse struct {
 	slots float64
 	// own and others are the open requests of this VM and of the others.
 	own    float64
 	others float64
 }
 
-func (c *census) add(slots, own, others float64) {
+func (c *slotUse) add(slots, own, others float64) {
 	c.slots += slots
 	c.own += own
 	c.others += others
@@ -41,7 +41,7 @@
 func (p *Placer) usage(now timer.Instant, service string) usage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	trusted, suspect := census{}, census{}
+	trusted, suspect := slotUse{}, slotUse{}
 	for _, m := range p.spec.Targets.Members(service) {
 		if !m.Listed(now) {
 			continue
--- a/internal/retrier/rank_table.go
+++ b/internal/retrier/rank_table.go
@@ -1,6 +1,7 @@
 package retrier
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,10 +104,7 @@
 	if s, ok := old[name]; ok {
 		return s
 	}
-	next := make(map[string]*atomic.Pointer[seenRanks], len(old)+1)
-	for k, v := range old {
-		next[k] = v
-	}
+	next := maps.Clone(old)
 	s := &atomic.Pointer[seenRanks]{}
 	s.Store(newSeenRanks())
 	next[name] = s
