Remove logic written twice beside the new parts

Cause: the check that a limit leaves enough for one use stood in four places of the tallier, the printing of aligned rows in two commands, and the state by which a retry is decided in the filter and in the forecast, which must agree.

Change: suffices, writeRows and retryState. No behavior changes.

--- a/internal/commander/cmd_status.go
+++ b/internal/commander/cmd_status.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -150,16 +150,8 @@
 	if len(rows) == 0 {
 		return nil
 	}
-	columns := tabwriter.NewWriter(t.out, 0, 0, columnGap, ' ', 0)
-	lines := &printer{
-		out: columns,
-	}
-	lines.line("%s", header)
-	for _, r := range rows {
-		lines.line("%s", r)
-	}
 
-	return errors.Join(lines.err, columns.Flush())
+	return writeRows(t.out, slices.Insert(slices.Clone(rows), 0, header))
 }
 
 // evacuation returns the evacuated data centres and the number of their targets, or "-".
--- a/internal/commander/where_table.go
+++ b/internal/commander/where_table.go
@@ -83,18 +83,19 @@
 }
 
 func (t *whereTable) write(o whereOptions, a *whereAnswer) error {
-	err := t.rows(a.facts(o))
+	err := writeRows(t.out, a.facts(o))
 	for _, rows := range [][]string{a.filterRows(), a.candidateRows(), a.excludedRows()} {
 		if len(rows) > 1 { // The first row is the header.
-			err = errors.Join(err, t.rows([]string{""}), t.rows(rows))
+			err = errors.Join(err, writeRows(t.out, []string{""}), writeRows(t.out, rows))
 		}
 	}
 
 	return err
 }
 
-func (t *whereTable) rows(rows []string) error {
-	columns := tabwriter.NewWriter(t.out, 0, 0, columnGap, ' ', 0)
+// writeRows prints rows whose cells are separated by tabs, in aligned columns.
+func writeRows(out io.Writer, rows []string) error {
+	columns := tabwriter.NewWriter(out, 0, 0, columnGap, ' ', 0)
 	lines := &printer{
 		out: columns,
 	}
--- a/internal/evacuator/writer.go
+++ b/internal/evacuator/writer.go
@@ -20,7 +20,8 @@
 	maxKeyBytes = 255
 )
 
-// evacuationValue is the value of the records. Any value but none evacuates.
+// evacuationValue is the value of the records that begin an evacuation. The readers accept
+// any value; a record without one ends the evacuation.
 const evacuationValue = "{}"
 
 // topic is the topic that operators write.
--- a/internal/filterer/hedge_pair.go
+++ b/internal/filterer/hedge_pair.go
@@ -32,7 +32,8 @@
 	fork   *handler.Fork
 	begun  timer.Instant
 	cancel context.CancelCauseFunc
-	// ended receives the error of the attempt; it has room for it.
+	// ended receives the error of the attempt. Its buffer of one lets the goroutine end
+	// before the error is read.
 	ended chan error
 	// settled is set by whichever is first: the end of the attempt, or its abort. After an
 	// abort, the goroutine of the attempt releases the memory.
--- a/internal/filterer/preview.go
+++ b/internal/filterer/preview.go
@@ -25,18 +25,12 @@
 // RetryState returns the state by which a retry is decided after a first attempt with the
 // given result.
 func RetryState(x *handler.Exchange, a *handler.Attempt) retrier.RetryState {
-	s := retrier.RetryState{
-		Service:    x.Service().Name(),
-		Deadline:   x.Deadline(),
-		Idempotent: x.Idempotent(),
-		Attempts:   1,
-		Limit:      x.Route().Attempts(),
-		Last:       a,
-		Rank:       rankOf(x),
-	}
+	possibleRuns := 0
 	if a.MayHaveRun() {
-		s.MayHaveRun = 1
+		possibleRuns = 1
 	}
+	s := retryState(x, 1, possibleRuns, a)
+	s.Rank = rankOf(x)
 
 	return s
 }
--- a/internal/filterer/repeat.go
+++ b/internal/filterer/repeat.go
@@ -61,8 +61,7 @@
 // Handle makes attempts until the policy allows no further one, or until a later
 // filter refuses the request before an attempt is made.
 func (r *Repeat) Handle(ctx context.Context, x *handler.Exchange, next handler.Handler) error {
-	service := x.Service().Name()
-	r.policy.Begin(r.clock.Now(), service)
+	r.policy.Begin(r.clock.Now(), x.Service().Name())
 	r.spacer.begin(x)
 	possibleRuns := 0
 	var response *handler.Response
@@ -80,15 +79,7 @@
 		if a.MayHaveRun() {
 			otherRuns--
 		}
-		x.SetStop(r.spacer.decide(ctx, x, retrier.RetryState{
-			Service:    service,
-			Deadline:   x.Deadline(),
-			Idempotent: x.Idempotent(),
-			Attempts:   len(x.History()),
-			MayHaveRun: possibleRuns,
-			Limit:      x.Route().Attempts(),
-			Last:       a,
-		}))
+		x.SetStop(r.spacer.decide(ctx, x, retryState(x, len(x.History()), possibleRuns, a)))
 		if x.Stop() != handler.StopNone {
 			return r.spacer.finish(x, combineAttempts(x, err, otherRuns > 0, response))
 		}
@@ -99,6 +90,20 @@
 	}
 }
 
+// retryState returns the state by which a retry is decided after the last of the attempts,
+// without the rank of the request.
+func retryState(x *handler.Exchange, attempts, possibleRuns int, last *handler.Attempt) retrier.RetryState {
+	return retrier.RetryState{
+		Service:    x.Service().Name(),
+		Deadline:   x.Deadline(),
+		Idempotent: x.Idempotent(),
+		Attempts:   attempts,
+		MayHaveRun: possibleRuns,
+		Limit:      x.Route().Attempts(),
+		Last:       last,
+	}
+}
+
 // countPossibleRuns returns the number of attempts that may have run the request. The filter
 // Hedge makes up to two at once.
 func countPossibleRuns(attempts []handler.AttemptRecord) int {
--- a/internal/gossiper/topics.go
+++ b/internal/gossiper/topics.go
@@ -181,7 +181,7 @@
 // the records that do not fit a packet are together too long to be relayed.
 func (g *Gossiper) splitRelays(topic uint32, from, to subscriber.Offset, records []subscriber.Record) []relayPart {
 	var parts []relayPart
-	begin, size, long := 0, 0, 0
+	begin, size, longBytes := 0, 0, 0
 	// closePart ends the part of whole records before the i-th one.
 	closePart := func(i int, end subscriber.Offset) {
 		if begin < i || end > from {
@@ -194,9 +194,9 @@
 	for i, x := range records {
 		n := len(x.Key()) + len(x.Value())
 		if n > maxRelay {
-			long += n
+			longBytes += n
 		}
-		if long > g.spec.MaxRelayedRecord { // More at once would overflow the receivers' buffers.
+		if longBytes > g.spec.MaxRelayedRecord { // More at once would overflow the receivers' buffers.
 			return nil
 		}
 		if size+n > maxRelay && i > begin {
--- a/internal/tallier/account.go
+++ b/internal/tallier/account.go
@@ -92,14 +92,15 @@
 // allows reports whether one more use by this VM is allowed that leaves the
 // reserve unused.
 func (a *account) allows(f fleet, r Reserve) bool {
-	left, part := a.limiter.remaining(f, r)
-
-	return left >= 1 && part >= 1
+	return suffices(a.limiter.remaining(f, r))
 }
 
+// suffices reports whether what the fleet and this VM may still use is enough for one use.
+func suffices(left, part float64) bool { return left >= 1 && part >= 1 }
+
 // use counts one use by this VM, if it is allowed. It leaves the reserve unused.
 func (a *account) use(f fleet, r Reserve) Verdict {
-	if left, part := a.limiter.remaining(f, r); left < 1 || part < 1 {
+	if left, part := a.limiter.remaining(f, r); !suffices(left, part) {
 		v := a.refusal(f, left, part)
 		v.reserved = a.allows(f, r.withoutFraction())
 
--- a/internal/tallier/hedges.go
+++ b/internal/tallier/hedges.go
@@ -36,7 +36,7 @@
 		if !ok {
 			continue
 		}
-		if left, part := a.limiter.remaining(t.fleet, Reserve{}); left < 1 || part < 1 {
+		if left, part := a.limiter.remaining(t.fleet, Reserve{}); !suffices(left, part) {
 			return a.refusal(t.fleet, left, part)
 		}
 		list = append(list, a)
--- a/internal/tallier/preview.go
+++ b/internal/tallier/preview.go
@@ -21,7 +21,7 @@
 func (p Preview) Part() float64 { return p.part }
 
 // Allows reports whether one more use is allowed.
-func (p Preview) Allows() bool { return !p.limited || p.left >= 1 && p.part >= 1 }
+func (p Preview) Allows() bool { return !p.limited || suffices(p.left, p.part) }
 
 // Preview returns what is left of the limit if the reserve stays unused. Unlike Check it
 // decides on a copy of the account, so that it neither creates nor changes one.
