Choose among assigned targets by their weights

Change: the slack holds for the cheapest assigned target; among the assigned ones that are not suspect the weights decide, and likewise among all with a free slot where the assigned ones cost more.

--- a/internal/placer/preference.go
+++ b/internal/placer/preference.go
@@ -7,16 +7,12 @@
 )
 
 const (
-	// preferenceSlack is the cost by which a preferred target may exceed the cheapest one.
-	// It is small, so that a VM leaves its own targets once they begin to fail.
+	// preferenceSlack is the cost by which the cheapest assigned target may exceed the
+	// cheapest of all. It is small, so that a VM leaves its targets once they begin to fail.
 	preferenceSlack = 0.03
 	// maxAssignedLoad is the fraction of its slots, with this request, up to which a target
 	// is preferred because it is assigned to this VM: targets are slower when nearly full.
 	maxAssignedLoad = 0.7
-	// maxStaleRisk is the risk up to which an assigned target without recent evidence is
-	// preferred all the same. A risk grows to about that without evidence, and a target that
-	// its own VMs do not use would get none but by trials.
-	maxStaleRisk = 0.3
 )
 
 // Assignment tells which targets are assigned to this VM.
@@ -31,29 +27,34 @@
 	}
 }
 
-// preferAssigned marks the targets that are not preferred, which get trial requests only. A
-// target is usable if it has a free slot and costs at most preferenceSlack more than the
-// cheapest one. The usable targets that are assigned to this VM and are not nearly full are
-// preferred, as are assigned ones without recent evidence; where there is no such target, all
-// usable ones are. Where no target is usable, none is marked.
+// preferAssigned marks the targets that are not preferred, which get trial requests only.
+// Preferred are the targets that are assigned to this VM, not suspect and not nearly full, if
+// the cheapest of them costs at most preferenceSlack more than the cheapest target of all.
+// Otherwise all targets with a free slot are, and without any, all targets. Among the
+// preferred ones the weights decide, so that a target that works again gets requests again.
 func preferAssigned(list []candidate, p profile, a Assignment) {
-	lowest := math.Inf(1) // The cost of the cheapest target.
-	for _, c := range list {
-		lowest = math.Min(lowest, c.cost(p))
-	}
-	usable := func(c candidate) bool { return c.open < c.slots && c.cost(p) <= lowest+preferenceSlack }
-	stale := func(c candidate) bool { return c.local && c.age > idleTime && c.risk <= maxStaleRisk }
+	lowest, lowestAssigned := math.Inf(1), math.Inf(1)
 	assigned := func(c candidate) bool {
-		return (usable(c) || stale(c)) && c.open+1 <= maxAssignedLoad*c.slots && a.Assigned(c.member.Key())
+		return c.risk < suspectRisk && c.open+1 <= maxAssignedLoad*c.slots && a.Assigned(c.member.Key())
 	}
-	if !limitOthersToTrials(list, assigned) {
-		limitOthersToTrials(list, usable)
+	for _, c := range list {
+		cost := c.cost(p)
+		lowest = math.Min(lowest, cost)
+		if assigned(c) {
+			lowestAssigned = math.Min(lowestAssigned, cost)
+		}
 	}
+	if lowestAssigned <= lowest+preferenceSlack {
+		limitOthersToTrials(list, assigned)
+
+		return
+	}
+	limitOthersToTrials(list, func(c candidate) bool { return c.open < c.slots })
 }
 
 // limitOthersToTrials marks the targets that are not preferred as trial-only, if any is
-// preferred. It reports whether one is.
-func limitOthersToTrials(list []candidate, preferred func(c candidate) bool) bool {
+// preferred.
+func limitOthersToTrials(list []candidate, preferred func(c candidate) bool) {
 	found := false
 	for i := range list {
 		list[i].trialOnly = !preferred(list[i])
@@ -64,6 +65,4 @@
 			list[i].trialOnly = false
 		}
 	}
-
-	return found
 }
--- a/internal/placer/preference_test.go
+++ b/internal/placer/preference_test.go
@@ -35,6 +35,7 @@
 		{"a and b are nearly full", func(list []candidate) { list[0].open, list[1].open = 2, 3 }},
 		{"a, b and c are full", func(list []candidate) { list[0].open, list[1].open, list[2].open = 4, 5, 4 }},
 		{"a had no requests lately", func(list []candidate) { list[0].risk, list[0].open, list[0].age = 0.2, 0, maxAge }},
+		{"a and b had none lately", func(list []candidate) { list[0].risk, list[1].risk = 0.2, 0.2 }},
 		{"a and b are suspect", func(list []candidate) { list[0].risk, list[1].risk = 0.6, 0.6 }},
 		{"all are full", func(list []candidate) {
 			for i := range list {
