Do not send requests to suspect targets because the others are full

Cause: where every target that works was full, a suspect one with a free slot was the only one preferred.

Change: only targets that are not suspect are preferred for their free slot.

Result: TestPreferAssigned has the case.

--- a/internal/placer/preference.go
+++ b/internal/placer/preference.go
@@ -30,8 +30,9 @@
 // preferAssigned marks the targets that are not preferred, which get trial requests only.
 // Preferred are the targets that are assigned to this VM, not suspect and not nearly full, if
 // the cheapest of them costs at most preferenceSlack more than the cheapest target of all.
-// Otherwise all targets with a free slot are, and without any, all targets. Among the
-// preferred ones the weights decide, so that a target that works again gets requests again.
+// Otherwise all targets with a free slot that are not suspect are, and without any, all
+// targets. Among the preferred ones the weights decide, so that a target that works again
+// gets requests again.
 func preferAssigned(list []candidate, p profile, a Assignment) {
 	lowest, lowestAssigned := math.Inf(1), math.Inf(1)
 	assigned := func(c candidate) bool {
@@ -49,7 +50,7 @@
 
 		return
 	}
-	limitOthersToTrials(list, func(c candidate) bool { return c.open < c.slots })
+	limitOthersToTrials(list, func(c candidate) bool { return c.risk < suspectRisk && c.open < c.slots })
 }
 
 // limitOthersToTrials marks the targets that are not preferred as trial-only, if any is
--- a/internal/placer/preference_test.go
+++ b/internal/placer/preference_test.go
@@ -42,6 +42,12 @@
 				list[i].open = 8
 			}
 		}},
+		{"all but d are full, and d is suspect", func(list []candidate) {
+			for i := range list {
+				list[i].open = 4
+			}
+			list[3].risk, list[3].open = 0.9, 1
+		}},
 		{"d is idle", func(list []candidate) { list[3].open, list[3].age = 0, maxAge }},
 		{"c and d are in another data centre, a and b are full", func(list []candidate) {
 			list[0].open, list[1].open = 4, 4
