--- a/review/rig/memory.go
+++ b/review/rig/memory_test.go
@@ -1,4 +1,4 @@
-package main
+package rig
 
 import (
 	"bufio"
--- a/review/rig/vm.go
+++ b/review/rig/vm_test.go
@@ -1,4 +1,4 @@
-package main
+package rig
 
 import (
 	"fmt"
@@ -76,7 +76,7 @@
 	return v
 }
 
-// starts carries out the starts of processes on the thread of main.
+// starts carries out the starts of processes on the thread of TestMain.
 var starts = make(chan func())
 
 // Start starts the process.
