--- a/review/rig/vm_test.go
+++ b/review/rig/vm_test.go
@@ -34,16 +34,50 @@
 }
 
 const (
-	// firstPort and ports are the range of the ports that the cases use, below those that
-	// the system gives to outgoing connections.
-	firstPort = 12000
-	ports     = 18000
+	// firstPort is the first of the ports that the cases use, below those that the system
+	// gives to outgoing connections. They are divided into blocks.
+	firstPort  = 12000
+	blockPorts = 300
+	blocks     = 60
 )
 
+// portBlock hands out the ports of a block, each once. Its first port is held until the
+// process ends, so that no other run takes a port of the block, also not that of a target
+// which is down.
+type portBlock struct {
+	mu   sync.Mutex
+	held net.Listener
+	next int
+}
+
+var ports portBlock
+
+// claim holds a block that no other run has.
+func (b *portBlock) claim() {
+	for _, i := range rand.Perm(blocks) {
+		first := firstPort + i*blockPorts
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			b.held, b.next = ln, first+1
+			return
+		}
+	}
+	cannotRun("no block of ports is free")
+}
+
 // freePort returns a loopback address with a port that is free for TCP and UDP.
 func freePort() string {
+	ports.mu.Lock()
+	defer ports.mu.Unlock()
+	if ports.held == nil {
+		ports.claim()
+	}
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if (ports.next-firstPort)%blockPorts == 0 {
+			cannotRun("the block has no free port left")
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
+		ports.next++
 		ln, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
