Show how many requests are in quarantine on /metrics

A VM that passes a quarantined request on again may never have been told of it, may have dropped it, or may compute another fingerprint; neither the log nor the metrics told these apart. The gauges requests.quarantined and requests.suspect do.

--- a/internal/assembler/store_operators.go
+++ b/internal/assembler/store_operators.go
@@ -16,6 +16,16 @@
 		"config.version":    func() int64 { return int64(v.adopter.Manifest().Version()) },
 		"vms.heard":         v.heard,
 		"vms.known":         v.known,
+		"requests.quarantined": func() int64 {
+			quarantined, _ := v.quarantine.Counts()
+
+			return int64(quarantined)
+		},
+		"requests.suspect": func() int64 {
+			_, suspects := v.quarantine.Counts()
+
+			return int64(suspects)
+		},
 	} {
 		v.meter.RegisterGauge(name, read)
 	}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -118,6 +118,21 @@
 	return ok && s.until.After(q.clock.Now())
 }
 
+// Counts returns how many requests are quarantined now, and how many others are suspects.
+func (q *Quarantiner) Counts() (quarantined, suspects int) {
+	now := q.clock.Now()
+	for _, s := range *q.suspects.Load() {
+		switch {
+		case s.until.After(now):
+			quarantined++
+		case s.until == 0 && now.Sub(s.lastCrash()) < suspicionTime:
+			suspects++
+		}
+	}
+
+	return quarantined, suspects
+}
+
 // Suspected reports whether a target crashed while it ran the request, and the request has
 // not been cleared.
 func (q *Quarantiner) Suspected(f Fingerprint) bool {
