Keep the quarantine through restarts on the path of the log too

Callers saw, where VMs use the log and the VM list: a request in quarantine crashed two more targets at each VM that was killed and started again.

Cause: as on the platform's store, marks are sent once, by a call to each VM that the sender knows at that time.

Where a response cleared the request here and not there, the clearing goes back.

--- a/internal/assembler/claims.go
+++ b/internal/assembler/claims.go
@@ -47,7 +47,9 @@
 	}
 	v.controllers = append(v.controllers, journal, holder)
 	others := func() []member.VM { return v.member.View().Peers() }
-	v.quarantine = quarantiner.New(v.timers, messenger.NewQuarantineClient(v.pool, others), v.logger)
+	quarantines := messenger.NewQuarantineClient(v.pool, others)
+	v.quarantine = quarantiner.New(v.timers, quarantines, v.logger)
+	v.controllers = append(v.controllers, quarantiner.NewExchanger(v.quarantine, quarantines, v.timers))
 
 	return errors.Wrap(messenger.RegisterQuarantines(v.server.Mux(), v.quarantine), "registering the quarantine service")
 }
--- a/internal/prover/proof08_test.go
+++ b/internal/prover/proof08_test.go
@@ -178,3 +178,39 @@
 	}
 	goldie.New(t).Assert(t, "proof08_crash", out.Bytes())
 }
+
+// TestProof08QuarantineAfterRestart guards against a quarantine that ends with the processes
+// which began it: VMs that are killed and started in turn must refuse the request as before.
+func TestProof08QuarantineAfterRestart(t *testing.T) {
+	t.Parallel()
+	const learnTime = 3 * time.Second
+	f := startFleet(t, fleetSpec{
+		vms: 3,
+		upstreams: map[string]int{
+			"bookings":  1,
+			"fieldbook": 8,
+		},
+	})
+	f.mustPublish(highRateManifest(f))
+	f.waitReady()
+	c := newClient(t)
+	poison := request{
+		method: http.MethodGet, path: "/species/poison", key: guidesKey, token: "poison",
+		fields: []string{standin.CrashField, "yes"}, body: "poison",
+	}
+	for i := range 3 {
+		send(c, f.vms[i].callersAddr, poison)
+	}
+	waitFor(t, "two targets have crashed", func() bool { return f.crashed("fieldbook") >= 2 })
+	var out bytes.Buffer
+	for i, v := range f.vms {
+		v.kill()
+		v.start()
+		f.waitReady()
+		time.Sleep(learnTime)
+		a := send(c, v.callersAddr, poison)
+		time.Sleep(crashNoticeTime)
+		fmt.Fprintf(&out, "VM %d restarted: %v, crashed targets: %d\n", i+1, a, f.crashed("fieldbook"))
+	}
+	goldie.New(t).Assert(t, "proof08_restart", out.Bytes())
+}
