--- a/internal/gossiper/send.go
+++ b/internal/gossiper/send.go
@@ -12,8 +12,9 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 )
 
-// requestEstimates requests risk estimates and snapshots of suspects from some VMs, until
-// one has answered or maxEstimateRequests requests were sent.
+// requestEstimates requests risk estimates from some VMs, until one has answered or
+// maxEstimateRequests requests were sent. With the first request, it requests snapshots too;
+// where these are lost, digests make up for them.
 func (g *Gossiper) requestEstimates() {
 	g.mu.Lock()
 	if g.estimateRequestsLeft == 0 || len(g.peers.byAddress) == 0 {
@@ -21,6 +22,7 @@
 
 		return
 	}
+	first := g.estimateRequestsLeft == maxEstimateRequests
 	g.estimateRequestsLeft--
 	r := g.newReport()
 	r.requestsEstimates = true
@@ -29,7 +31,9 @@
 	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
 	to = to[:min(estimateSources, len(to))]
 	g.send(r, to)
-	g.requestSnapshots(to)
+	if first {
+		g.requestSnapshots(to)
+	}
 }
 
 // sendEstimates sends the risk estimates of this VM to a new one.
@@ -46,7 +50,6 @@
 // tick updates the counts of VMs, and runs a round once every roundTicks.
 func (g *Gossiper) tick(now timer.Instant) {
 	g.requestEstimates()
-	g.sendDigest(now)
 	g.mu.Lock()
 	g.ticks++
 	c := g.peers.countVMs(now)
@@ -60,6 +63,7 @@
 	if due {
 		g.runRound(now)
 	}
+	g.sendDigest(now)
 }
 
 // runRound sends the regular report.
