Take over a quarantine whose first crash is long ago

A request may be in quarantine because of two crashes up to ten minutes apart. A VM that learned of it from another dropped the first crash, as crashes older than a quarantine lasts did not count, and so did not refuse the request. Crashes count for as long as they can belong to a quarantine; one that has ended is not taken over. A quarantine for which there is no room is no longer logged each time.

Measured: the new case of TestMerge gave blocked=false before; now it is refused for the rest of the quarantine, 4m55s.

--- a/internal/quarantiner/sharing.go
+++ b/internal/quarantiner/sharing.go
@@ -15,6 +15,10 @@
 // would otherwise take it over again from one where it has not.
 const minSharedTime = 10 * time.Second
 
+// maxCrashAge is the greatest age of a crash that may count: the first crash of a quarantine
+// that is about to end, with the second one at the end of the suspicion.
+const maxCrashAge = suspicionTime + quarantineTime
+
 // Digest identifies the set of requests in quarantine; 0 is that of the empty set.
 type Digest uint32
 
@@ -147,13 +151,17 @@
 	var contradicted []Snapshot
 	for _, x := range list {
 		q.mergeClearing(now, x)
-		s := q.merged(now, next[x.fingerprint], x)
-		if s == nil {
+		old := next[x.fingerprint]
+		s := q.merged(now, old, x)
+		switch {
+		case s == nil:
 			delete(next, x.fingerprint)
-		} else if makeRoom(next, x.fingerprint, s) {
+			q.logMerged(now, x.fingerprint, old, nil)
+		case makeRoom(next, x.fingerprint, s):
 			next[x.fingerprint] = s
+			q.logMerged(now, x.fingerprint, old, s)
 		}
-		if _, cleared := q.cleared[x.fingerprint]; cleared && x.quarantined() && (s == nil || s.until == 0) {
+		if _, cleared := q.cleared[x.fingerprint]; cleared && x.quarantined() && !s.quarantined() {
 			contradicted = append(contradicted, q.snapshot(now, x.fingerprint, s))
 		}
 	}
@@ -185,28 +193,29 @@
 			}
 		}
 	}
-	wasQuarantined := old != nil && old.until != 0
-	if wasQuarantined && len(s.crashes) >= quarantineCrashes {
+	if old.quarantined() && len(s.crashes) >= quarantineCrashes {
 		return old
 	}
 	s.crashes = union(s.crashes, x.since(now, counts))
 	if len(s.crashes) >= quarantineCrashes {
 		s.until = s.crashes[quarantineCrashes-1].at.Add(quarantineTime)
 	}
-	q.logMerged(now, x.fingerprint, s, wasQuarantined)
-	if len(s.crashes) == 0 {
+	if len(s.crashes) == 0 || s.quarantined() && !s.until.After(now) {
 		return nil
 	}
 
 	return s
 }
 
+// quarantined reports whether the suspect, which may be nil, is or was in quarantine.
+func (s *suspect) quarantined() bool { return s != nil && s.until != 0 }
+
 // logMerged logs that a quarantine was taken over from another VM, or ended by it.
-func (q *Quarantiner) logMerged(now timer.Instant, f Fingerprint, s *suspect, wasQuarantined bool) {
+func (q *Quarantiner) logMerged(now timer.Instant, f Fingerprint, old, s *suspect) {
 	switch {
-	case s.until != 0:
+	case s.quarantined() && !old.quarantined():
 		q.logger.Log(logger.QuarantineLearned, logger.Text("request", string(f)), logger.Int("leftMs", s.until.Sub(now).Milliseconds()))
-	case wasQuarantined:
+	case old.quarantined() && !s.quarantined():
 		q.logger.Log(logger.QuarantineWithdrawn, logger.Text("request", string(f)))
 	}
 }
@@ -219,7 +228,7 @@
 			target: c.target,
 			at:     now.Add(-c.age),
 		}
-		if c.target != "" && c.age >= 0 && c.age < quarantineTime && counts(at) {
+		if c.target != "" && c.age >= 0 && c.age < maxCrashAge && counts(at) {
 			list = append(list, at)
 		}
 	}
--- a/internal/quarantiner/sharing_test.go
+++ b/internal/quarantiner/sharing_test.go
@@ -37,6 +37,7 @@
 		remote quarantiner.Snapshot
 	}{
 		{"two crashes, none known here", nil, snapshot(crash("t1", 20*second), crash("t2", 5*second))},
+		{"two crashes, nine minutes apart", nil, snapshot(crash("t1", 9*time.Minute), crash("t2", 5*second))},
 		{"two crashes of one target", nil, snapshot(crash("t1", 20*second), crash("t1", 5*second))},
 		{"one crash, none known here", nil, snapshot(crash("t1", 20*second))},
 		{"one crash, another one known here", func(q *quarantiner.Quarantiner) { mark(q, "t2") }, snapshot(crash("t1", 20*second))},
