--- a/internal/decoder/report.go
+++ b/internal/decoder/report.go
@@ -156,9 +156,9 @@
 		spec.Piece = readPiece(c)
 	}
 	if format == encoder.ReportFormatQuarantine {
-		spec.RequestsSnapshots = c.octet()&encoder.QuarantineRequest != 0
+		spec.RequestsSuspects = c.octet()&encoder.QuarantineRequest != 0
 		spec.Digest = quarantiner.Digest(c.fixed32())
-		c.list(func() { spec.Snapshots = append(spec.Snapshots, readSnapshot(c)) })
+		c.list(func() { spec.Suspects = append(spec.Suspects, readSnapshot(c)) })
 	}
 	if c.failed || len(c.rest) > 0 {
 		return nil, &ReportError{
--- a/internal/decoder/report_test.go
+++ b/internal/decoder/report_test.go
@@ -44,9 +44,9 @@
 			Data:   []byte(`{"routes":`),
 			PassTo: []string{"10.0.0.4:7000"},
 		}),
-		Digest:            4_000_000_001,
-		RequestsSnapshots: true,
-		Snapshots: []quarantiner.Snapshot{
+		Digest:           4_000_000_001,
+		RequestsSuspects: true,
+		Suspects: []quarantiner.Snapshot{
 			quarantiner.NewSnapshot("f", quarantiner.NewCrash("i-1", 2*time.Second), quarantiner.NewCrash("i-2", time.Second)),
 			quarantiner.NewSnapshot("g").ClearedBefore(3 * time.Second),
 		},
--- a/internal/encoder/report.go
+++ b/internal/encoder/report.go
@@ -18,7 +18,7 @@
 )
 
 // QuarantineRequest is the bit of the flags of the part about the quarantine that is set if
-// the VM requests snapshots.
+// the VM requests what others know of suspects.
 const QuarantineRequest = 1
 
 // The bits of a report's flags.
@@ -101,7 +101,7 @@
 }
 
 func reportFormat(r *gossiper.Report) byte {
-	if r.Digest() != 0 || r.RequestsSnapshots() || len(r.Snapshots()) > 0 {
+	if r.Digest() != 0 || r.RequestsSuspects() || len(r.Suspects()) > 0 {
 		return ReportFormatQuarantine
 	}
 
@@ -132,10 +132,10 @@
 }
 
 func appendQuarantine(b []byte, r *gossiper.Report) []byte {
-	b = append(b, flagBit(r.RequestsSnapshots(), QuarantineRequest))
+	b = append(b, flagBit(r.RequestsSuspects(), QuarantineRequest))
 	b = binary.BigEndian.AppendUint32(b, uint32(r.Digest()))
-	b = binary.AppendUvarint(b, uint64(len(r.Snapshots())))
-	for _, s := range r.Snapshots() {
+	b = binary.AppendUvarint(b, uint64(len(r.Suspects())))
+	for _, s := range r.Suspects() {
 		b = appendText(b, string(s.Fingerprint()))
 		b = binary.AppendUvarint(b, uint64(len(s.Crashes())))
 		for _, c := range s.Crashes() {
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -182,9 +182,9 @@
 	lastSkipLogged timer.Instant
 	// pieces joins the pieces of relayed records; only the goroutine that receives uses it.
 	pieces collector
-	// lastSnapshotRequest is when this VM last requested snapshots of another one; 0 before.
+	// lastSuspectsRequest is when this VM last requested snapshots of another one; 0 before.
 	// Only the goroutine that receives uses it.
-	lastSnapshotRequest timer.Instant
+	lastSuspectsRequest timer.Instant
 	// readers are set before Run. The index of a reader is the number of its topic.
 	readers []reader
 }
--- a/internal/gossiper/quarantine_test.go
+++ b/internal/gossiper/quarantine_test.go
@@ -290,11 +290,11 @@
 	answers := 0
 	for _, r := range n.reports[first:] {
 		size := 0
-		for _, s := range r.Snapshots() {
+		for _, s := range r.Suspects() {
 			size += snapshotSize(s)
 		}
 		if size > maxRelay {
-			t.Errorf("a report with %d snapshots takes up to %d bytes, want at most %d", len(r.Snapshots()), size, maxRelay)
+			t.Errorf("a report with %d snapshots takes up to %d bytes, want at most %d", len(r.Suspects()), size, maxRelay)
 		}
 		if size > 0 {
 			answers++
--- a/internal/gossiper/quarantines.go
+++ b/internal/gossiper/quarantines.go
@@ -12,9 +12,9 @@
 	// digestTargets is the number of VMs that each tick sends the digest of the quarantine
 	// to, while a request is in quarantine.
 	digestTargets = 2
-	// snapshotRequestInterval is the shortest time between two requests for snapshots, so
+	// suspectsRequestInterval is the shortest time between two requests for snapshots, so
 	// that VMs which differ for long exchange little.
-	snapshotRequestInterval = time.Second
+	suspectsRequestInterval = time.Second
 	// snapshotOverhead is the most, in bytes, that the lengths, times and flags of a snapshot
 	// or of a crash take.
 	snapshotOverhead = 10
@@ -36,37 +36,37 @@
 	g.send(r, to[:min(digestTargets, len(to))])
 }
 
-// handleSnapshots takes over the snapshots of a report, answers a request for those of this
+// handleQuarantine takes over the snapshots of a report, answers a request for those of this
 // VM, and requests those of the sender if the quarantine there differs.
-func (g *Gossiper) handleSnapshots(now timer.Instant, from string, r *Report) {
-	if unknown := g.spec.Quarantine.Merge(r.snapshots); len(unknown) > 0 {
-		g.sendSnapshots(unknown, from)
+func (g *Gossiper) handleQuarantine(now timer.Instant, from string, r *Report) {
+	if unknown := g.spec.Quarantine.Merge(r.suspects); len(unknown) > 0 {
+		g.sendSuspects(unknown, from)
 	}
-	if r.requestsSnapshots {
-		g.sendSnapshots(g.spec.Quarantine.Snapshots(), from)
+	if r.requestsSuspects {
+		g.sendSuspects(g.spec.Quarantine.Snapshots(), from)
 	}
 	if r.digest == 0 || r.digest == g.spec.Quarantine.Digest() {
 		return
 	}
-	if g.lastSnapshotRequest != 0 && now.Sub(g.lastSnapshotRequest) < snapshotRequestInterval {
+	if g.lastSuspectsRequest != 0 && now.Sub(g.lastSuspectsRequest) < suspectsRequestInterval {
 		return
 	}
-	g.lastSnapshotRequest = now
-	g.requestSnapshots([]string{from})
+	g.lastSuspectsRequest = now
+	g.requestSuspects([]string{from})
 }
 
-// requestSnapshots requests the snapshots of the VMs with the addresses.
-func (g *Gossiper) requestSnapshots(to []string) {
+// requestSuspects requests the snapshots of the VMs with the addresses.
+func (g *Gossiper) requestSuspects(to []string) {
 	g.mu.Lock()
 	r := g.newReport()
 	g.mu.Unlock()
-	r.requestsSnapshots = true
+	r.requestsSuspects = true
 	g.send(r, to)
 }
 
-// sendSnapshots sends as many of the snapshots as fit one packet. Which ones are left out
+// sendSuspects sends as many of the snapshots as fit one packet. Which ones are left out
 // differs each time; see quarantiner.Snapshots.
-func (g *Gossiper) sendSnapshots(list []quarantiner.Snapshot, to string) {
+func (g *Gossiper) sendSuspects(list []quarantiner.Snapshot, to string) {
 	n, size := 0, 0
 	for _, s := range list {
 		size += snapshotSize(s)
@@ -81,7 +81,7 @@
 	g.mu.Lock()
 	r := g.newReport()
 	g.mu.Unlock()
-	r.snapshots = list[:n]
+	r.suspects = list[:n]
 	g.send(r, []string{to})
 }
 
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -120,7 +120,7 @@
 		g.sendEstimates(now, from)
 	}
 	g.spec.Estimator.Merge(now, r.estimates)
-	g.handleSnapshots(now, from, r)
+	g.handleQuarantine(now, from, r)
 	g.updateReaders(r)
 }
 
--- a/internal/gossiper/report.go
+++ b/internal/gossiper/report.go
@@ -156,10 +156,10 @@
 	origin string
 	// digest is that of the requests which the VM has in quarantine; 0 in most reports.
 	digest quarantiner.Digest
-	// requestsSnapshots is set where the VM requests snapshots of suspects, and snapshots
-	// are the answer to such a request.
-	requestsSnapshots bool
-	snapshots         []quarantiner.Snapshot
+	// requestsSuspects is set where the VM requests what others know of requests that
+	// crashed targets, and suspects are the answer to such a request.
+	requestsSuspects bool
+	suspects         []quarantiner.Snapshot
 }
 
 // ReportSpec lists the attributes of a report, as the accessors of Report describe
@@ -181,8 +181,8 @@
 	Spread            bool
 	Origin            string
 	Digest            quarantiner.Digest
-	RequestsSnapshots bool
-	Snapshots         []quarantiner.Snapshot
+	RequestsSuspects  bool
+	Suspects          []quarantiner.Snapshot
 }
 
 // NewReport returns a report.
@@ -204,8 +204,8 @@
 		spread:            s.Spread,
 		origin:            s.Origin,
 		digest:            s.Digest,
-		requestsSnapshots: s.RequestsSnapshots,
-		snapshots:         s.Snapshots,
+		requestsSuspects:  s.RequestsSuspects,
+		suspects:          s.Suspects,
 	}
 }
 
@@ -276,8 +276,9 @@
 // Digest returns the digest of the requests which the VM has in quarantine, or 0.
 func (r *Report) Digest() quarantiner.Digest { return r.digest }
 
-// RequestsSnapshots reports whether the VM requests the snapshots of another one.
-func (r *Report) RequestsSnapshots() bool { return r.requestsSnapshots }
+// RequestsSuspects reports whether the VM requests what another one knows of requests that
+// crashed targets.
+func (r *Report) RequestsSuspects() bool { return r.requestsSuspects }
 
-// Snapshots returns what the VM knows of requests that crashed targets.
-func (r *Report) Snapshots() []quarantiner.Snapshot { return r.snapshots }
+// Suspects returns what the VM knows of requests that crashed targets.
+func (r *Report) Suspects() []quarantiner.Snapshot { return r.suspects }
--- a/internal/gossiper/send.go
+++ b/internal/gossiper/send.go
@@ -13,7 +13,7 @@
 )
 
 // requestEstimates requests risk estimates from some VMs, until one has answered or
-// maxEstimateRequests requests were sent. With the first request, it requests snapshots too;
+// maxEstimateRequests requests were sent. With the first request, it requests their suspects too;
 // where these are lost, digests make up for them.
 func (g *Gossiper) requestEstimates() {
 	g.mu.Lock()
@@ -32,7 +32,7 @@
 	to = to[:min(estimateSources, len(to))]
 	g.send(r, to)
 	if first {
-		g.requestSnapshots(to)
+		g.requestSuspects(to)
 	}
 }
 
