Fail responses whose status line is not HTTP/1.1

Cause: fasthttp parses any three digits as the status, and its StatusCode returns 200 where the parsed number is 0. Statuses from 001 to 099 counted as interim responses, so that the bytes behind such a head were parsed as the next response, and 600 to 999 were passed on. Two or more spaces, control bytes, other protocol versions and empty lines in or before the status line were accepted, too.

Evidence: TestBrokenResponses sends such responses through a VM.

Change: the forwarder checks the status line of each head that it reads, interim ones included, before fasthttp parses it. It must be that of HTTP/1.x with a status from 100 to 599, the range that RFC 9110 (section 15) gives. A response with another one fails as malformed: the caller gets 502 with the outcome unknown, and a request that may run more than once is sent to another target.

Why it works: the check reads the bytes that fasthttp parses next, from the same buffer, and nothing else in the forwarder reads a head.

--- a/internal/forwarder/head_test.go
+++ b/internal/forwarder/head_test.go
@@ -108,17 +108,23 @@
 		cut.Store(int64(n))
 		results = append(results, describeCut(do(context.Background(), tr, s, attemptSpec{address: f.ln.Addr().String()})))
 	}
-	var ranges []string
+
+	return strings.Join(ranges(results), ", ")
+}
+
+// ranges returns the ranges of equal results, each with the first and last index.
+func ranges(results []string) []string {
+	var list []string
 	for first := 0; first < len(results); {
 		last := first
 		for last+1 < len(results) && results[last+1] == results[first] {
 			last++
 		}
-		ranges = append(ranges, fmt.Sprintf("%d-%d %s", first, last, results[first]))
+		list = append(list, fmt.Sprintf("%d-%d %s", first, last, results[first]))
 		first = last + 1
 	}
 
-	return strings.Join(ranges, ", ")
+	return list
 }
 
 // describeCut returns the fault of the attempt, or how much of its body a response has.
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -94,7 +94,7 @@
 
 func readFinalHeader(r *bufio.Reader, resp *fasthttp.Response) error {
 	for range maxHeaderReads {
-		if err := resp.Header.Read(r); err != nil {
+		if err := readHead(r, resp); err != nil {
 			return &responseError{
 				cause: err,
 			}
