Fail responses that are reset while the request is being written

Cause: a response without a length ends with its connection, and the forwarder took the end that it read (io.EOF) for the target's close. The kernel reports a reset once, to whichever call on the socket comes first. If that was the write of the upload, the read that followed returned the ordinary end of the connection. The same holds for the other errors that end a connection, such as the timeout of unacknowledged bytes.

Change: at the end of a response without a length, the forwarder waits for the end of the write, for 200 ms at most. If the write failed, the response is truncated: the caller gets 502 with the outcome unknown.

Why it works: if the reader saw an end that was a reset, a write has received its error, and returns it. Where the target closed only its own direction and reads on, or leaves the rest unread, the write succeeds or its wait ends, and the response is passed on as before. A target that closes its own direction first and resets the connection right after is not told from one that crashed, and fails, too.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -183,7 +183,7 @@
 	firstByte := t.clock.Now().Sub(start)
 	c.begin(x.Deadline().Sub(t.clock.Now()))
 	resp.SkipBody = req.Header.IsHead()
-	body, err := t.readResponse(c, resp, x)
+	body, err := t.readResponse(w, resp, x)
 	if err != nil {
 		w.wait()
 
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -54,7 +54,8 @@
 // readResponse reads the final response and returns its body. The first byte of the
 // response is already buffered. The memory for the body is added to what the exchange
 // holds, also after an error.
-func (t *Transport) readResponse(c *connection, resp *fasthttp.Response, x *handler.Exchange) ([]byte, error) {
+func (t *Transport) readResponse(w *requestWriter, resp *fasthttp.Response, x *handler.Exchange) ([]byte, error) {
+	c := w.conn
 	if err := readFinalHeader(c.reader, resp); err != nil {
 		return nil, err
 	}
@@ -80,8 +81,12 @@
 	}
 	body, held, err := t.memory.ReadBody(from, max(length, reserver.UnknownLength), maxResponseBytes)
 	x.Hold(held)
-	if err == nil && length == chunked {
+	switch {
+	case err != nil:
+	case length == chunked:
 		err = resp.Header.ReadTrailer(c.reader)
+	case length == unknown:
+		err = w.confirmEnd(x.Deadline().Sub(t.clock.Now()))
 	}
 	if err != nil {
 		return nil, &responseError{
--- a/internal/forwarder/writer.go
+++ b/internal/forwarder/writer.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -9,6 +10,10 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/recoverer"
 )
 
+// resetWait bounds the wait for a reset after the end of a response. A target that closes the
+// connection instead of reading on resets it within a round trip.
+const resetWait = 200 * time.Millisecond
+
 // requestWriter writes one request. A request with a large body is written while its
 // response is awaited, because the target may respond before it has read the body.
 type requestWriter struct {
@@ -73,6 +78,21 @@
 // written reports whether the whole request was written.
 func (w *requestWriter) written() bool { return w.ended() && w.err == nil }
 
+// confirmEnd returns an error if the connection failed while the request was written. The
+// caller has read the end of the connection, which alone does not show that the target closed
+// it: the kernel reports a reset once, to the writer or to the reader, and then the end.
+// confirmEnd therefore waits for the end of the write, for resetWait or the time left at most.
+// A target that closed only its own direction may take longer, or leave the rest unread.
+func (w *requestWriter) confirmEnd(left time.Duration) error {
+	_ = w.conn.conn.SetWriteDeadline(time.Now().Add(min(left, resetWait))) // A closed connection fails at the next write.
+	<-w.done
+	if errors.Is(w.err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+
+	return w.err
+}
+
 // wait returns once nothing is written any more. It closes the connection if the request
 // is not written to its end by then, because the target must not take the bytes of
 // another request for the rest of this one.
