Fail HTTP/1.0 responses with a transfer coding

Callers would see: a target that sends HTTP/1.0 and chunks gets its chunk sizes into the caller's body, or the body is cut at a length that does not count them (MIXED).

Cause: fasthttp ignores Transfer-Encoding unless the version is HTTP/1.1, and then reads the chunks as a body that ends with its connection, or at its Content-Length.

Evidence: TestFraming before the change,

HTTP/1.0, chunked: response 200 "2\r\nok\r\n0\r\n\r\n" HTTP/1.0, chunked, with Content-Length 2: response 200 "2\r"

and through a VM, on: 200 signed=true body="c\r\nhello, world\r\n0\r\n\r\n".

Change: such a response fails as malformed. RFC 9112 (section 6.1) has its framing treated as faulty.

Why it works: checkHead sees the field before fasthttp drops it.

Measured: both fail, in TestFraming and through a VM; HTTP/1.0 without a coding, and every other row of TestFraming, is as before. A length beside chunks in HTTP/1.1 was read as the standard says, and nothing is changed for it.

--- /dev/null
+++ b/internal/forwarder/framing_test.go
@@ -0,0 +1,41 @@
+package forwarder_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// TestFraming compares the results of responses whose head states the end of their body in a
+// way that HTTP/1.1 does not allow, or that another parser may read differently, with the
+// golden file.
+func TestFraming(t *testing.T) {
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
+	var out bytes.Buffer
+	g := startRespondent(t)
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: Chunked\r\n\r\n" + chunks,
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked, chunked\r\n\r\n" + chunks,
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: identity\r\n\r\n" + chunks,
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"HTTP/1.0 200 OK\r\nSignature: s\r\n\r\nok",
+		"HTTP/1.0 200 OK\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.0 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"HTTP/1.0 200 OK\r\nSignature: s\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"HTTP/1.1 200 OK\r\nSignature: s\r\ntransfer-encoding: chunked\r\ncontent-length: 12\r\n\r\n" + chunks,
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 2, 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: +2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: -2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 0x2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 18446744073709551618\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length:\r\n\r\nok",
+	} {
+		fmt.Fprintf(&out, "%q: %s\n", text, describe(g.attempt(text)))
+	}
+	goldie.New(t).Assert(t, "framing", out.Bytes())
+}
--- a/internal/forwarder/head.go
+++ b/internal/forwarder/head.go
@@ -39,6 +39,7 @@
 	if err := checkStatusLine(line); err != nil {
 		return err
 	}
+	current := bytes.HasPrefix(line, []byte("HTTP/1.1"))
 	for checked := len(line) + len(lineEnd); ; checked += len(line) + len(lineEnd) {
 		line, err = peekLine(r, checked)
 		if err != nil || len(line) == 0 {
@@ -47,9 +48,21 @@
 		if err := checkFieldLine(line); err != nil {
 			return err
 		}
+		if !current && hasName(line, "Transfer-Encoding") {
+			return &headError{
+				reason: "it has a transfer coding, which only HTTP/1.1 defines",
+			}
+		}
 	}
 }
 
+// hasName reports whether the field line has the name, in any case.
+func hasName(line []byte, name string) bool {
+	found, _, _ := bytes.Cut(line, []byte(":"))
+
+	return strings.EqualFold(string(found), name)
+}
+
 // lineEnd is the end of a line.
 const lineEnd = "\r\n"
 
