Fail interim responses that state a body

Callers would see: the target sends a 1xx status with a Content-Length and a body, and the caller gets the body, if it looks like a response, as the response of the target (MIXED). A status that is spoiled to 1xx in front of an ordinary body otherwise kept the caller waiting for another head.

Cause: interim responses have no body, so the forwarder takes the bytes behind their head for the next head. fasthttp parses a length there and does not refuse it.

Change: a 1xx response with a Content-Length above 0 or with a transfer coding fails as malformed. RFC 9110 (section 8.6) and RFC 9112 (section 6.1) forbid both. A length of 0 contradicts nothing and passes as before.

Why it works: the length is that of the head which was parsed last; there is no other place at which the forwarder takes one head for interim and reads on.

--- a/internal/forwarder/framing_test.go
+++ b/internal/forwarder/framing_test.go
@@ -39,3 +39,22 @@
 	}
 	goldie.New(t).Assert(t, "framing", out.Bytes())
 }
+
+// TestInterimFraming compares the results of interim responses that state a body, with the
+// golden file. They have none: the bytes behind their head may be a body that looks like a
+// response.
+func TestInterimFraming(t *testing.T) {
+	var out bytes.Buffer
+	g := startRespondent(t)
+	for _, head := range []string{
+		"HTTP/1.1 100 Continue\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nContent-Length: 54\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nSignature: s\r\nContent-Length: 54\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		fmt.Fprintf(&out, "%q: %s\n", head, describe(g.attempt(head+"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok")))
+	}
+	goldie.New(t).Assert(t, "interim_framing", out.Bytes())
+}
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -20,6 +20,12 @@
 	maxHeaderReads = 8
 )
 
+// The lengths that fasthttp returns for a body that is chunked or ends with its connection.
+const (
+	chunkedLength = -1
+	unknownLength = -2
+)
+
 // responseError reports a response that could not be read, because it ended early,
 // has no framing or is not valid HTTP.
 type responseError struct {
@@ -43,12 +49,12 @@
 	return "the response has neither a Content-Length nor chunked transfer coding, so its end is unknown; make the target send one of them"
 }
 
-// interimError reports a 101 response or too many other 1xx responses.
+// interimError reports a 101 response, a 1xx response with a body, or too many 1xx responses.
 type interimError struct{}
 
 // Error implements error.
 func (e *interimError) Error() string {
-	return "the target sent 101 or too many 1xx responses; it must send a final status"
+	return "the target sent 101, a 1xx response with a body, or too many of them; it must send a final status"
 }
 
 // readResponse reads the final response and returns its body. The first byte of the
@@ -62,16 +68,12 @@
 	if resp.SkipBody || !hasBody(resp.StatusCode()) {
 		return nil, nil
 	}
-	const (
-		chunked = -1
-		unknown = -2
-	)
 	length := resp.Header.ContentLength()
 	from := io.Reader(c.reader)
 	switch length {
-	case chunked:
+	case chunkedLength:
 		from = httputil.NewChunkedReader(c.reader)
-	case unknown:
+	case unknownLength:
 		if !t.dialect.Unframed() {
 			return nil, &responseError{
 				cause: &unframedError{},
@@ -83,9 +85,9 @@
 	x.Hold(held)
 	switch {
 	case err != nil:
-	case length == chunked:
+	case length == chunkedLength:
 		err = resp.Header.ReadTrailer(c.reader)
-	case length == unknown:
+	case length == unknownLength:
 		err = w.confirmEnd(x.Deadline().Sub(t.clock.Now()))
 	}
 	if err != nil {
@@ -105,16 +107,23 @@
 			}
 		}
 		switch s := resp.StatusCode(); {
-		case s == fasthttp.StatusSwitchingProtocols:
-			return &interimError{}
 		case s >= fasthttp.StatusOK:
 			return nil
+		case s == fasthttp.StatusSwitchingProtocols, statesBody(resp):
+			return &interimError{}
 		}
 	}
 
 	return &interimError{}
 }
 
+// statesBody reports whether the head states that a body follows.
+func statesBody(resp *fasthttp.Response) bool {
+	length := resp.Header.ContentLength()
+
+	return length > 0 || length == chunkedLength
+}
+
 // hasBody reports whether a response with the status carries a body.
 func hasBody(status int) bool {
 	return status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
