Fail chunked responses whose trailer is not valid HTTP/1.1

Callers saw nothing wrong in these: the trailer is not passed on, and the body was whole.

Evidence: TestTrailer before the change passed the response on with "X A: v", "X-A : v", a field over two lines, and lines that end with LF alone.

Change: the forwarder checks the lines of a trailer as it checks those of a head.

Measured: these fail as malformed; valid trailers pass, and one that is cut off is truncated, as before. Two rows of LF alone were truncated and are malformed.

--- a/internal/forwarder/framing_test.go
+++ b/internal/forwarder/framing_test.go
@@ -58,3 +58,36 @@
 	}
 	goldie.New(t).Assert(t, "interim_framing", out.Bytes())
 }
+
+// TestTrailer compares the results of chunked responses by the lines behind their last chunk,
+// with the golden file.
+func TestTrailer(t *testing.T) {
+	var out bytes.Buffer
+	g := startRespondent(t)
+	for _, trailer := range []string{
+		"\r\n",
+		"X-A: v\r\n\r\n",
+		"X-A:\r\nX-B: w\r\n\r\n",
+		"Content-Length: 5\r\n\r\n",
+		"X A: v\r\n\r\n",
+		"X-A : v\r\n\r\n",
+		" X-A: v\r\n\r\n",
+		"\tX-A: v\r\n\r\n",
+		"X-A: v\r\n w\r\n\r\n",
+		"X\x00A: v\r\n\r\n",
+		"X-A: v\x00\r\n\r\n",
+		"X-A: v\nX-B: w\r\n\r\n",
+		"\nX-A: v\r\n\r\n",
+		"X-A: v\n\r\n",
+		"\n",
+		"X-A\r\n\r\n",
+		": v\r\n\r\n",
+		"X-A: v\r\n",
+		"X-A: v",
+		"",
+	} {
+		const head = "HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+		fmt.Fprintf(&out, "%q: %s\n", trailer, describe(g.attempt(head+trailer)))
+	}
+	goldie.New(t).Assert(t, "trailer", out.Bytes())
+}
--- a/internal/forwarder/head.go
+++ b/internal/forwarder/head.go
@@ -9,14 +9,14 @@
 	"github.com/valyala/fasthttp"
 )
 
-// headError reports the head of a response that is not valid HTTP/1.1.
+// headError reports a head, or the trailer of a body, that is not valid HTTP/1.1.
 type headError struct {
 	reason string
 }
 
 // Error implements error.
 func (e *headError) Error() string {
-	return "the head of the response is not valid HTTP/1.1, as " + e.reason + "; see the target's log"
+	return "the head or trailer of the response is not valid HTTP/1.1, as " + e.reason + "; see the target's log"
 }
 
 // readHead reads the head of one response. fasthttp accepts more than HTTP/1.1 allows, so
@@ -29,6 +29,15 @@
 	return errors.Wrap(resp.Header.Read(r), "parsing the head")
 }
 
+// readTrailer reads the fields behind the last chunk of a body, which are not used.
+func readTrailer(r *bufio.Reader, resp *fasthttp.Response) error {
+	if err := checkFields(r, 0, checkFieldLine); err != nil {
+		return err
+	}
+
+	return errors.Wrap(resp.Header.ReadTrailer(r), "parsing the trailer")
+}
+
 // checkHead waits until the reader holds a whole head, and returns an error if a line of it is
 // not valid. It consumes nothing.
 func checkHead(r *bufio.Reader) error {
@@ -39,30 +48,29 @@
 	if err := checkStatusLine(line); err != nil {
 		return err
 	}
-	current := bytes.HasPrefix(line, []byte("HTTP/1.1"))
-	for checked := len(line) + len(lineEnd); ; checked += len(line) + len(lineEnd) {
-		line, err = peekLine(r, checked)
+	check := checkOldFieldLine
+	if bytes.HasPrefix(line, []byte("HTTP/1.1")) {
+		check = checkFieldLine
+	}
+
+	return checkFields(r, len(line)+len(lineEnd), check)
+}
+
+// checkFields waits until the reader holds, after skip bytes, lines up to an empty one, and
+// returns the first error of check for one of them. It consumes nothing.
+func checkFields(r *bufio.Reader, skip int, check func(line []byte) error) error {
+	for {
+		line, err := peekLine(r, skip)
 		if err != nil || len(line) == 0 {
 			return err
 		}
-		if err := checkFieldLine(line); err != nil {
+		if err := check(line); err != nil {
 			return err
 		}
-		if !current && hasName(line, "Transfer-Encoding") {
-			return &headError{
-				reason: "it has a transfer coding, which only HTTP/1.1 defines",
-			}
-		}
+		skip += len(line) + len(lineEnd)
 	}
 }
 
-// hasName reports whether the field line has the name, in any case.
-func hasName(line []byte, name string) bool {
-	found, _, _ := bytes.Cut(line, []byte(":"))
-
-	return strings.EqualFold(string(found), name)
-}
-
 // lineEnd is the end of a line.
 const lineEnd = "\r\n"
 
@@ -145,6 +153,19 @@
 	}
 }
 
+// checkOldFieldLine is checkFieldLine for other versions than HTTP/1.1. They define no transfer
+// coding, and fasthttp takes chunks for the body.
+func checkOldFieldLine(line []byte) error {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if strings.EqualFold(string(name), "Transfer-Encoding") {
+		return &headError{
+			reason: "it has a transfer coding, which only HTTP/1.1 defines",
+		}
+	}
+
+	return checkFieldLine(line)
+}
+
 // isToken reports whether the text is a token, as the names of fields are.
 func isToken(text []byte) bool {
 	return len(text) > 0 && !bytes.ContainsFunc(text, isDelimiter)
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -86,7 +86,7 @@
 	switch {
 	case err != nil:
 	case length == chunkedLength:
-		err = resp.Header.ReadTrailer(c.reader)
+		err = readTrailer(c.reader, resp)
 	case length == unknownLength:
 		err = w.confirmEnd(x.Deadline().Sub(t.clock.Now()))
 	}
