--- a/internal/forwarder/body_test.go
+++ b/internal/forwarder/body_test.go
@@ -29,12 +29,8 @@
 // body. It then reads on, and counts the bytes that do not belong to that body.
 func startEarlyTarget(t *testing.T, readsOn bool, wrong *atomic.Int64) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	serve := func(c net.Conn) {
+
+	return accept(t, func(c net.Conn) {
 		defer c.Close()
 		for {
 			if !readHead(c) {
@@ -54,7 +50,17 @@
 				return
 			}
 		}
+	})
+}
+
+// accept calls serve with each connection to the address that it returns.
+func accept(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for {
 			c, err := ln.Accept()
--- a/internal/forwarder/early_end_test.go
+++ b/internal/forwarder/early_end_test.go
@@ -81,28 +81,14 @@
 // the connection.
 func startEarlyEnd(t *testing.T, end func(c *net.TCPConn)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if tcp, ok := c.(*net.TCPConn); ok && readHead(c) {
-					_, _ = io.WriteString(c, earlyResponse)
-					end(tcp)
-				}
-			}()
-		}
-	}()
 
-	return ln.Addr().String()
+	return accept(t, func(c net.Conn) {
+		defer c.Close()
+		if tcp, ok := c.(*net.TCPConn); ok && readHead(c) {
+			_, _ = io.WriteString(c, earlyResponse)
+			end(tcp)
+		}
+	})
 }
 
 // TestEarlyEnd sends large bodies to targets that respond early, without a length, and
