Fail responses with a content coding that no target uses

Callers would see: a signed 200 whose body is not the target's (MIXED).

Cause: the page says that a response with a Content-Encoding is not the target's body. The forwarder knew nothing of this and passed the response on.

Change: the dialect states that bodies have no content coding; a 2xx response with one then fails as malformed. Failures are passed on as they are, and so is an empty field, which names no coding.

Why it works: the coding is that of the head from which the body was read, and the check stands beside those of the id and the signature, before anything is passed on.

--- a/internal/forwarder/codec.go
+++ b/internal/forwarder/codec.go
@@ -83,6 +83,11 @@
 	req.Header.SetHost(r.Fields().Get(hostField))
 }
 
+// isForeign reports whether the response is not that of the target to the request.
+func isForeign(d *handler.Dialect, req *fasthttp.Request, resp *fasthttp.Response) bool {
+	return hasOtherID(d, req, resp) || lacksSignature(d, resp) || isEncoded(d, resp)
+}
+
 // hasOtherID reports whether the response carries the id of another request or of
 // another attempt. A target repeats the ids of the request to which it responds.
 func hasOtherID(d *handler.Dialect, req *fasthttp.Request, resp *fasthttp.Response) bool {
@@ -115,9 +120,20 @@
 // lacksSignature reports whether a 2xx response lacks the field that shows that it
 // comes from a target.
 func lacksSignature(d *handler.Dialect, resp *fasthttp.Response) bool {
+	return d.Signature() != "" && isSuccess(resp) && len(resp.Header.Peek(d.Signature())) == 0
+}
+
+// isEncoded reports whether a 2xx response has a content coding where the bodies of targets
+// have none.
+func isEncoded(d *handler.Dialect, resp *fasthttp.Response) bool {
+	return d.Unencoded() && isSuccess(resp) && len(resp.Header.ContentEncoding()) > 0
+}
+
+// isSuccess reports whether the status is 2xx.
+func isSuccess(resp *fasthttp.Response) bool {
 	s := resp.StatusCode()
 
-	return d.Signature() != "" && s >= fasthttp.StatusOK && s < fasthttp.StatusMultipleChoices && len(resp.Header.Peek(d.Signature())) == 0
+	return s >= fasthttp.StatusOK && s < fasthttp.StatusMultipleChoices
 }
 
 // isLeaving reports whether the target states that it is about to stop.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -189,9 +189,9 @@
 
 		return t.failed(ctx, c, x.Target(), start, err)
 	}
-	if hasOtherID(t.dialect, req, resp) || lacksSignature(t.dialect, resp) {
+	if isForeign(t.dialect, req, resp) {
 		return handler.NewFailedAttempt(x.Target(), handler.FaultMalformed,
-			handler.NewUnknownOutcome(handler.CodeUpstream, "the target's answer belongs to another request or lacks its mark")).SetTiming(firstByte, c.reused)
+			handler.NewUnknownOutcome(handler.CodeUpstream, "the answer is not that of the target to this request")).SetTiming(firstByte, c.reused)
 	}
 	if !resp.ConnectionClose() && c.reader.Buffered() == 0 && w.written() && recognizable(t.dialect, req, resp) {
 		c.finish()
--- a/internal/forwarder/status_test.go
+++ b/internal/forwarder/status_test.go
@@ -41,8 +41,14 @@
 
 func startRespondent(t *testing.T) *respondent {
 	t.Helper()
+
+	return startRespondentWith(t, signedDialect())
+}
+
+func startRespondentWith(t *testing.T, d *handler.Dialect) *respondent {
+	t.Helper()
 	g := &respondent{timer: timer.NewService()}
-	g.transport = forwarder.NewTransport(g.timer, signedDialect(), reserver.New(testMemory), func(*manifester.Target) int { return 1 })
+	g.transport = forwarder.NewTransport(g.timer, d, reserver.New(testMemory), func(*manifester.Target) int { return 1 })
 	g.target = startTarget(t, func(c net.Conn, n int64, r *http.Request) {
 		_, _ = io.WriteString(c, *g.text.Load())
 		closeConn(c, n, r)
--- a/internal/handler/dialect.go
+++ b/internal/handler/dialect.go
@@ -19,6 +19,7 @@
 	verbatim     bool
 	unframed     bool
 	fractions    bool
+	unencoded    bool
 }
 
 // DialectSpec lists the attributes of a Dialect. A header field whose name is "" is
@@ -62,6 +63,9 @@
 	// Fractions is set if the waiting time sent to callers may have a fraction
 	// of a second.
 	Fractions bool
+	// Unencoded is set if the bodies of targets have no content coding, so that a
+	// successful response with one is not that of a target.
+	Unencoded bool
 }
 
 // NewDialect returns a Dialect with the given attributes.
@@ -80,6 +84,7 @@
 		verbatim:     s.Verbatim,
 		unframed:     s.Unframed,
 		fractions:    s.Fractions,
+		unencoded:    s.Unencoded,
 	}
 }
 
@@ -150,3 +155,7 @@
 		RetryAfter: "Retry-After",
 	})
 }
+
+// Unencoded reports whether a successful response with a content coding is not that of a
+// target.
+func (d *Dialect) Unencoded() bool { return d.unencoded }
