Fail responses that name two requests or bear two signatures

Callers would see: a 200 that bears the id of another request, or another signature, beside their own (MIXED).

Cause: the forwarder compared the first value of the id with that of the request, and looked for one signature. All values were passed on.

Change: a response fails as malformed if one of its ids is not that of the request, or if its signatures differ. Equal values, and responses without an id, pass as before.

Why it works: which of two values is that of the target cannot be known; each is compared.

Tests of the forwarder pass.

--- a/internal/forwarder/codec.go
+++ b/internal/forwarder/codec.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -85,7 +86,7 @@
 
 // isForeign reports whether the response is not that of the target to the request.
 func isForeign(d *handler.Dialect, req *fasthttp.Request, resp *fasthttp.Response) bool {
-	return hasOtherID(d, req, resp) || lacksSignature(d, resp) || isEncoded(d, resp)
+	return hasOtherID(d, req, resp) || lacksSignature(d, resp) || hasTwoSignatures(d, resp) || isEncoded(d, resp)
 }
 
 // hasOtherID reports whether the response carries the id of another request or of
@@ -94,15 +95,27 @@
 	return differs(d.RequestID(), req, resp) || differs(d.AttemptID(), req, resp)
 }
 
-// differs reports whether the field has different values in the request and in the
-// response, and is in both.
+// differs reports whether the request has the field, and a value of it in the response is
+// another one.
 func differs(name string, req *fasthttp.Request, resp *fasthttp.Response) bool {
 	if name == "" {
 		return false
 	}
-	sent, echoed := req.Header.Peek(name), resp.Header.Peek(name)
+	sent := req.Header.Peek(name)
 
-	return len(sent) > 0 && len(echoed) > 0 && !bytes.Equal(sent, echoed)
+	return len(sent) > 0 && slices.ContainsFunc(resp.Header.PeekAll(name), func(echoed []byte) bool {
+		return len(echoed) > 0 && !bytes.Equal(sent, echoed)
+	})
+}
+
+// hasTwoSignatures reports whether the response has signatures that differ.
+func hasTwoSignatures(d *handler.Dialect, resp *fasthttp.Response) bool {
+	if d.Signature() == "" {
+		return false
+	}
+	list := resp.Header.PeekAll(d.Signature())
+
+	return slices.ContainsFunc(list, func(s []byte) bool { return !bytes.Equal(s, list[0]) })
 }
 
 // idField returns the name of the field by which a response is matched to its request, or
--- a/internal/forwarder/identity_test.go
+++ b/internal/forwarder/identity_test.go
@@ -35,3 +35,34 @@
 	}
 	goldie.New(t).Assert(t, "content_coding", out.Bytes())
 }
+
+// TestRepeatedIdentity compares the results of responses that repeat the field with the id of
+// their request or with their signature, with the golden file. A second value is that of
+// another response.
+func TestRepeatedIdentity(t *testing.T) {
+	var out bytes.Buffer
+	g := startRespondentWith(t, handler.NewDialect(handler.DialectSpec{
+		Timeout:   "Timeout-Ms",
+		Signature: "Signature",
+		RequestID: "Token",
+	}))
+	for _, fields := range []string{
+		"Token: one\r\nSignature: s\r\n",
+		"Signature: s\r\n",
+		"Token: one\r\nToken: one\r\nSignature: s\r\nSignature: s\r\n",
+		"Token: one\r\nToken: two\r\nSignature: s\r\n",
+		"Token: two\r\nToken: one\r\nSignature: s\r\n",
+		"token: one\r\ntOKEN: two\r\nSignature: s\r\n",
+		"Token: one, two\r\nSignature: s\r\n",
+		"Token:\r\nToken: two\r\nSignature: s\r\n",
+		"Token: one\r\nSignature: s\r\nSignature: t\r\n",
+		"Token: one\r\nSignature:\r\nSignature: t\r\n",
+		"Token: one\r\nSignature:\r\n",
+	} {
+		for _, status := range []string{"200 OK", "500 Failed"} {
+			text := "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: 2\r\n\r\nok"
+			fmt.Fprintf(&out, "%q: %s\n", text, describe(g.attempt(text)))
+		}
+	}
+	goldie.New(t).Assert(t, "repeated_identity", out.Bytes())
+}
