Accept connections of raw stand-ins in one place

The loop that accepts connections stood in the tests of the forwarder, twice, and in those of the adapter. standin.Accept has it now.

--- a/internal/forwarder/body_test.go
+++ b/internal/forwarder/body_test.go
@@ -18,6 +18,7 @@
 	"github.com/lagoonkeel/lagoonkeel/internal/forwarder"
 	"github.com/lagoonkeel/lagoonkeel/internal/handler"
 	"github.com/lagoonkeel/lagoonkeel/internal/reserver"
+	"github.com/lagoonkeel/lagoonkeel/internal/standin"
 	"github.com/lagoonkeel/lagoonkeel/internal/timer"
 	"github.com/lagoonkeel/lagoonkeel/pkg/manifester"
 )
@@ -56,20 +57,11 @@
 // accept calls serve with each connection to the address that it returns.
 func accept(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := standin.Accept(serve)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
 
 	return ln.Addr().String()
 }
@@ -157,7 +149,7 @@
 	s := timer.NewService()
 	tr := forwarder.NewTransport(s, c.dialect, reserver.New(32<<20), func(*manifester.Target) int { return 1 })
 	spec := attemptSpec{
-		address:    f.ln.Addr().String(),
+		address:    f.address,
 		idempotent: true,
 		timeout:    timeout,
 	}
@@ -242,7 +234,7 @@
 	var noMemory atomic.Int64
 	for range callers {
 		wg.Go(func() {
-			x := newExchange(s, attemptSpec{address: f.ln.Addr().String(), idempotent: true, timeout: 5 * time.Second})
+			x := newExchange(s, attemptSpec{address: f.address, idempotent: true, timeout: 5 * time.Second})
 			a := tr.Do(context.Background(), x)
 			if a.Fault() == handler.FaultNoMemory {
 				noMemory.Add(1)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -33,7 +33,7 @@
 
 // scriptedTarget is a target that responds to each request with given bytes.
 type scriptedTarget struct {
-	ln net.Listener
+	address string
 	// requests counts the requests received, and opened the connections accepted.
 	requests atomic.Int64
 	opened   atomic.Int64
@@ -63,25 +63,11 @@
 
 func startTarget(t *testing.T, reply func(c net.Conn, n int64, r *http.Request)) *scriptedTarget {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := &scriptedTarget{
-		ln:    ln,
-		reply: reply,
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			f.opened.Add(1)
-			go f.serve(c)
-		}
-	}()
+	f := &scriptedTarget{reply: reply}
+	f.address = accept(t, func(c net.Conn) {
+		f.opened.Add(1)
+		f.serve(c)
+	})
 
 	return f
 }
@@ -218,8 +204,8 @@
 	} {
 		f := startTarget(t, c.reply)
 		tr, s := newTransport(t, 4)
-		first := do(context.Background(), tr, s, attemptSpec{address: f.ln.Addr().String(), idempotent: true})
-		second := do(context.Background(), tr, s, attemptSpec{address: f.ln.Addr().String(), idempotent: true})
+		first := do(context.Background(), tr, s, attemptSpec{address: f.address, idempotent: true})
+		second := do(context.Background(), tr, s, attemptSpec{address: f.address, idempotent: true})
 		fmt.Fprintf(&out, "%s: %s; connection reused=%v\n", c.name, describe(first), second.Reused())
 	}
 	goldie.New(t).Assert(t, "responses", out.Bytes())
@@ -247,14 +233,14 @@
 		_, _ = io.WriteString(c, okResponse)
 	})
 	first := make(chan *handler.Attempt)
-	go func() { first <- do(context.Background(), tr, s, attemptSpec{address: f.ln.Addr().String()}) }()
+	go func() { first <- do(context.Background(), tr, s, attemptSpec{address: f.address}) }()
 	for f.requests.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	fmt.Fprintf(&out, "limit reached: %s\n", describe(do(context.Background(), tr, s, attemptSpec{address: f.ln.Addr().String()})))
+	fmt.Fprintf(&out, "limit reached: %s\n", describe(do(context.Background(), tr, s, attemptSpec{address: f.address})))
 	close(unblock)
 	fmt.Fprintf(&out, "first request: %s\n", describe(<-first))
-	fmt.Fprintf(&out, "below the limit again: %s\n", describe(do(context.Background(), tr, s, attemptSpec{address: f.ln.Addr().String()})))
+	fmt.Fprintf(&out, "below the limit again: %s\n", describe(do(context.Background(), tr, s, attemptSpec{address: f.address})))
 	goldie.New(t).Assert(t, "unsent", out.Bytes())
 }
 
@@ -269,7 +255,7 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(token), token)
 	})
 	tr, s := newTransport(t, 4)
-	address := f.ln.Addr().String()
+	address := f.address
 	var out bytes.Buffer
 	for _, spec := range []attemptSpec{
 		{address: address, idempotent: true, token: "one"},
@@ -297,7 +283,7 @@
 	tr, s := newTransport(t, 4)
 	var out bytes.Buffer
 	for i := range 3 {
-		a := do(context.Background(), tr, s, attemptSpec{address: f.ln.Addr().String(), idempotent: true})
+		a := do(context.Background(), tr, s, attemptSpec{address: f.address, idempotent: true})
 		fmt.Fprintf(&out, "%d: %s reused=%v\n", i, describe(a), a.Reused())
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -316,7 +302,7 @@
 	tr, s := newTransport(t, 4)
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(30*time.Millisecond, cancel)
-	a := do(ctx, tr, s, attemptSpec{address: f.ln.Addr().String()})
+	a := do(ctx, tr, s, attemptSpec{address: f.address})
 	if got, want := describe(a), "fault=canceled outcome=unknown code=timeout"; got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
@@ -350,7 +336,7 @@
 		wg.Go(func() {
 			for i := range 60 {
 				token := fmt.Sprintf("token-%d-%d", w, i)
-				a := do(context.Background(), tr, s, attemptSpec{address: f.ln.Addr().String(), idempotent: true, token: token, firstByteTimeout: 10 * time.Millisecond})
+				a := do(context.Background(), tr, s, attemptSpec{address: f.address, idempotent: true, token: token, firstByteTimeout: 10 * time.Millisecond})
 				if a.Err() != nil {
 					failed.Add(1)
 
@@ -386,7 +372,7 @@
 		f.silent = silent
 		tr, s := newTransport(t, 4)
 		for _, token := range []string{"one", "two", "three"} {
-			a := do(context.Background(), tr, s, attemptSpec{address: f.ln.Addr().String(), idempotent: true, token: token})
+			a := do(context.Background(), tr, s, attemptSpec{address: f.address, idempotent: true, token: token})
 			fmt.Fprintf(&out, "silent=%v, %s: %s reused=%v\n", silent, token, describe(a), a.Reused())
 		}
 	}
--- a/internal/forwarder/head_test.go
+++ b/internal/forwarder/head_test.go
@@ -106,7 +106,7 @@
 	var results []string
 	for n := range len(text) + 1 {
 		cut.Store(int64(n))
-		results = append(results, describeCut(do(context.Background(), tr, s, attemptSpec{address: f.ln.Addr().String()})))
+		results = append(results, describeCut(do(context.Background(), tr, s, attemptSpec{address: f.address})))
 	}
 
 	return strings.Join(ranges(results), ", ")
--- a/internal/forwarder/hedge_test.go
+++ b/internal/forwarder/hedge_test.go
@@ -36,7 +36,7 @@
 		respond(okResponse)(c, n, r)
 	})
 	tr, s := newTransport(t, 4)
-	spec := attemptSpec{address: f.ln.Addr().String(), idempotent: true}
+	spec := attemptSpec{address: f.address, idempotent: true}
 	other := make(chan *handler.Attempt)
 	go func() { other <- do(t.Context(), tr, s, spec) }()
 	for _, a := range []*handler.Attempt{do(t.Context(), tr, s, spec), <-other} {
@@ -74,7 +74,7 @@
 
 		return 4
 	})
-	spec := attemptSpec{address: f.ln.Addr().String(), idempotent: true}
+	spec := attemptSpec{address: f.address, idempotent: true}
 	if got, want := describe(do(ctx, tr, s, spec)), "fault=canceled outcome=not-run code=timeout"; got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
@@ -85,7 +85,7 @@
 func TestHedgeReusesConnection(t *testing.T) {
 	f := startTarget(t, respond(okResponse))
 	tr, s := newTransport(t, 4)
-	spec := attemptSpec{address: f.ln.Addr().String(), idempotent: true}
+	spec := attemptSpec{address: f.address, idempotent: true}
 	if a := do(t.Context(), tr, s, spec); a.Fault() != handler.FaultNone {
 		t.Fatal(describe(a))
 	}
--- a/internal/forwarder/listed_test.go
+++ b/internal/forwarder/listed_test.go
@@ -65,7 +65,7 @@
 		f.silent = true
 		s := timer.NewService()
 		tr := forwarder.NewTransport(s, d, reserver.New(testMemory), func(*manifester.Target) int { return 1 })
-		x := newExchange(s, attemptSpec{address: f.ln.Addr().String(), token: "x"})
+		x := newExchange(s, attemptSpec{address: f.address, token: "x"})
 		for _, v := range listed {
 			x.Request().Fields().Add("Connection", v)
 		}
--- a/internal/forwarder/notice_test.go
+++ b/internal/forwarder/notice_test.go
@@ -51,7 +51,7 @@
 		f := startTarget(t, respond("HTTP/1.1 "+c.head+"\r\nContent-Length: 0\r\n\r\n"))
 		s := timer.NewService()
 		tr := forwarder.NewTransport(s, d, reserver.New(testMemory), func(*manifester.Target) int { return 1 })
-		a := do(context.Background(), tr, s, attemptSpec{address: f.ln.Addr().String(), idempotent: true})
+		a := do(context.Background(), tr, s, attemptSpec{address: f.address, idempotent: true})
 		fmt.Fprintf(&out, "%s: %s leaving=%v retryAfter=%v\n", c.name, describe(a), a.Leaving(), a.RetryAfter())
 	}
 	goldie.New(t).Assert(t, "notices", out.Bytes())
--- a/internal/forwarder/second_refusal_test.go
+++ b/internal/forwarder/second_refusal_test.go
@@ -73,7 +73,7 @@
 		tr := forwarder.NewTransport(s, d, reserver.New(testMemory), func(*manifester.Target) int { return 1 })
 		fmt.Fprintf(&out, "%s\n", c.name)
 		for i, id := range c.ids {
-			x := newExchange(s, attemptSpec{address: f.ln.Addr().String(), idempotent: true, token: fmt.Sprint(i)})
+			x := newExchange(s, attemptSpec{address: f.address, idempotent: true, token: fmt.Sprint(i)})
 			if id != "" {
 				x.Request().Fields().Add("Request-Id", id)
 			}
--- a/internal/forwarder/status_test.go
+++ b/internal/forwarder/status_test.go
@@ -63,7 +63,7 @@
 	g.text.Store(&text)
 	defer g.closeIdle()
 
-	return do(context.Background(), g.transport, g.timer, attemptSpec{address: g.target.ln.Addr().String(), token: "one"})
+	return do(context.Background(), g.transport, g.timer, attemptSpec{address: g.target.address, token: "one"})
 }
 
 // closeIdle closes the idle connections, so that the next attempt opens one.
