--- a/internal/commander/cmd_where.go
+++ b/internal/commander/cmd_where.go
@@ -78,15 +78,15 @@
 	if err != nil {
 		return err
 	}
+	var a whereAnswer
+	if err := json.Unmarshal(data, &a); err != nil { // An answer that was cut off cannot be decoded.
+		return errors.Wrap(err, "decoding the answer")
+	}
 	if o.asJSON {
 		_, err = c.OutOrStdout().Write(data)
 
 		return errors.Wrap(err, "writing the answer")
 	}
-	var a whereAnswer
-	if err := json.Unmarshal(data, &a); err != nil {
-		return errors.Wrap(err, "decoding the answer")
-	}
 	t := &whereTable{
 		out: c.OutOrStdout(),
 	}
