Fail responses with a length beside a transfer coding

Callers would see: of the two bodies that such a response may mean, the one that fasthttp chose, and the next request on a connection of which it is uncertain where the next response begins (MIXED).

Cause: fasthttp ignores a Content-Length beside Transfer-Encoding and keeps the connection. RFC 9112 forbids senders both (section 6.2) and has them handled as an error (6.3).

Evidence: TestKeptConnections, which sends a request behind each of 27 responses whose targets keep their connection: response 200 "ok"; then reused=true. Behind all other broken responses the connection was closed.

Change: the forwarder notes both fields while it checks the lines of a head; with both, the response fails as malformed and its connection is closed.

Why it works: the two are the only fields that state where a body ends.

--- a/internal/forwarder/head.go
+++ b/internal/forwarder/head.go
@@ -48,12 +48,11 @@
 	if err := checkStatusLine(line); err != nil {
 		return err
 	}
-	check := checkOldFieldLine
-	if bytes.HasPrefix(line, []byte("HTTP/1.1")) {
-		check = checkFieldLine
+	f := framing{
+		codable: bytes.HasPrefix(line, []byte("HTTP/1.1")),
 	}
 
-	return checkFields(r, len(line)+len(lineEnd), check)
+	return checkFields(r, len(line)+len(lineEnd), f.add)
 }
 
 // checkFields waits until the reader holds, after skip bytes, lines up to an empty one, and
@@ -83,7 +82,7 @@
 			return nil, errors.Wrap(err, "reading the head")
 		}
 		if line, _, whole := bytes.Cut(buffered[skip:], []byte("\n")); whole {
-			return withoutReturn(line)
+			return trimReturn(line)
 		}
 		if _, err := r.Peek(len(buffered) + 1); err != nil {
 			return nil, errors.Wrap(err, "reading the head")
@@ -91,10 +90,10 @@
 	}
 }
 
-// withoutReturn returns the line without the carriage return that has to precede its line
+// trimReturn returns the line without the carriage return that has to precede its line
 // feed. Where it is missing, other parsers may take two lines for one, or not see the end of
 // the head.
-func withoutReturn(line []byte) ([]byte, error) {
+func trimReturn(line []byte) ([]byte, error) {
 	text, ok := bytes.CutSuffix(line, []byte("\r"))
 	if !ok {
 		return nil, &headError{
@@ -134,9 +133,9 @@
 	}
 }
 
-// checkFieldLine returns an error if the line is not a field: a name, a colon and a value. A
-// line that begins with a space continues the one before it in old versions of HTTP; it is not
-// valid either, as the field before it may be the signature.
+// checkFieldLine returns an error if the line is not a field: a name, a colon and a value. Line
+// folding, which is obsolete, is not valid either: it would change the field of the line
+// before, which may be the signature.
 func checkFieldLine(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	switch {
@@ -153,31 +152,50 @@
 	}
 }
 
-// checkOldFieldLine is checkFieldLine for other versions than HTTP/1.1. They define no transfer
-// coding, and fasthttp takes chunks for the body.
-func checkOldFieldLine(line []byte) error {
+// framing is what the fields of a head state about the end of the body.
+type framing struct {
+	// codable is set if the version of HTTP defines transfer codings.
+	codable bool
+	// coded and sized are set once a field with a transfer coding, or a length, was added.
+	coded bool
+	sized bool
+}
+
+// add adds a field line. It returns an error if the line is not valid, or if the body could
+// have two ends. fasthttp then chooses one: it ignores a transfer coding where the version
+// defines none, and a length beside a transfer coding.
+func (f *framing) add(line []byte) error {
+	if err := checkFieldLine(line); err != nil {
+		return err
+	}
 	name, _, _ := bytes.Cut(line, []byte(":"))
-	if strings.EqualFold(string(name), "Transfer-Encoding") {
+	f.coded = f.coded || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	f.sized = f.sized || bytes.EqualFold(name, []byte("Content-Length"))
+	switch {
+	case f.coded && !f.codable:
 		return &headError{
 			reason: "it has a transfer coding, which only HTTP/1.1 defines",
 		}
+	case f.coded && f.sized:
+		return &headError{
+			reason: "it has a length and a transfer coding",
+		}
+	default:
+		return nil
 	}
-
-	return checkFieldLine(line)
 }
 
 // isToken reports whether the text is a token, as the names of fields are.
 func isToken(text []byte) bool {
-	return len(text) > 0 && !bytes.ContainsFunc(text, isDelimiter)
+	return len(text) > 0 && !bytes.ContainsFunc(text, func(r rune) bool { return !isTokenChar(r) })
 }
 
-// isDelimiter reports whether tokens cannot have the character.
-func isDelimiter(r rune) bool {
+func isTokenChar(r rune) bool {
 	switch {
 	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
-		return false
+		return true
 	default:
-		return !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+		return strings.ContainsRune("!#$%&'*+-.^_`|~", r)
 	}
 }
 
--- a/internal/forwarder/writer.go
+++ b/internal/forwarder/writer.go
@@ -78,11 +78,12 @@
 // written reports whether the whole request was written.
 func (w *requestWriter) written() bool { return w.ended() && w.err == nil }
 
-// confirmEnd returns an error if the connection failed while the request was written. The
-// caller has read the end of the connection, which alone does not show that the target closed
-// it: the kernel reports a reset once, to the writer or to the reader, and then the end.
-// confirmEnd therefore waits for the end of the write, for resetWait or the time left at most.
-// A target that closed only its own direction may take longer, or leave the rest unread.
+// confirmEnd returns an error if the connection failed while the request was written. It is
+// called once a read returned io.EOF, which alone does not show that the target closed the
+// connection: the kernel reports a reset only to the first call that meets it, a write or a
+// read, and to later reads an ordinary end. confirmEnd therefore waits until the write ends,
+// for resetWait or the time left at most; a target that closed only its own direction may read
+// for longer, or leave the rest unread.
 func (w *requestWriter) confirmEnd(left time.Duration) error {
 	_ = w.conn.conn.SetWriteDeadline(time.Now().Add(min(left, resetWait))) // A closed connection fails at the next write.
 	<-w.done
