Fail a 204 that states a body

Callers would see: a success without a body, though its target had sent one (MIXED).

Cause: a 204 has no body, so the forwarder read none, whatever its head stated. RFC 9110 (section 8.6) and RFC 9112 (section 6.1) forbid a 204 to state one, as they do for 1xx.

Evidence: TestNoContentFraming before the change: with a Content-Length of 2, and with chunks, response 204 "". The connection was closed only if the body had arrived by then.

A length of 0 passes, and so does a 304 with a length, which is that of the representation.

Why it works: one place decides from the final head whether a body is read; the check stands there, before the decision.

--- a/internal/forwarder/framing_test.go
+++ b/internal/forwarder/framing_test.go
@@ -91,3 +91,20 @@
 	}
 	goldie.New(t).Assert(t, "trailer", out.Bytes())
 }
+
+// TestNoContentFraming compares the results of responses whose status has no body and whose
+// head states one, with the golden file. The head of a 304 may state that of a 200.
+func TestNoContentFraming(t *testing.T) {
+	var out bytes.Buffer
+	g := startRespondent(t)
+	for _, text := range []string{
+		"HTTP/1.1 204 No Content\r\nSignature: s\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 204 No Content\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 304 Not Modified\r\nSignature: s\r\nContent-Length: 2\r\n\r\n",
+	} {
+		fmt.Fprintf(&out, "%q: %s\n", text, describe(g.attempt(text)))
+	}
+	goldie.New(t).Assert(t, "no_content_framing", out.Bytes())
+}
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -49,12 +49,12 @@
 	return "the response has neither a Content-Length nor chunked transfer coding, so its end is unknown; make the target send one of them"
 }
 
-// interimError reports a 101 response, a 1xx response with a body, or too many 1xx responses.
+// interimError reports a 101 response or too many other 1xx responses.
 type interimError struct{}
 
 // Error implements error.
 func (e *interimError) Error() string {
-	return "the target sent 101, a 1xx response with a body, or too many of them; it must send a final status"
+	return "the target sent 101 or too many 1xx responses; it must send a final status"
 }
 
 // readResponse reads the final response and returns its body. The first byte of the
@@ -107,10 +107,16 @@
 			}
 		}
 		switch s := resp.StatusCode(); {
+		case (s < fasthttp.StatusOK || s == fasthttp.StatusNoContent) && statesBody(resp):
+			return &responseError{
+				cause: &headError{
+					reason: "it states a body that its status does not have",
+				},
+			}
+		case s == fasthttp.StatusSwitchingProtocols:
+			return &interimError{}
 		case s >= fasthttp.StatusOK:
 			return nil
-		case s == fasthttp.StatusSwitchingProtocols, statesBody(resp):
-			return &interimError{}
 		}
 	}
 
