--- a/internal/commander/broken_page_test.go
+++ b/internal/commander/broken_page_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"strings"
 	"testing"
 
@@ -19,16 +18,7 @@
 func TestBrokenPages(t *testing.T) {
 	const page = `{"id":"vm-1","version":7,"ready":true}`
 	var out bytes.Buffer
-	for _, text := range []string{
-		fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(page), page),
-		"HTTP/1.1 200 OK\r\n\r\n" + page,
-		"HTTP/1.1 200 OK\r\n\r\n" + page[:20],
-		"HTTP/1.1 200 OK\r\n\r\n",
-		fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(page), page[:20]),
-		fmt.Sprintf("HTTP/1.1 200 OK\r\nContent Length: %d\r\n\r\n%s", len(page), page[:20]),
-		fmt.Sprintf("HTTP/1.1 000 OK\r\nContent-Length: %d\r\n\r\n%s", len(page), page),
-		"HTTP/1.1 200 OK\r\nX: y\r\n\nZ: w\r\n\r\n" + page,
-	} {
+	for _, text := range standin.BrokenResponses(page, 20) {
 		fmt.Fprintf(&out, "%q:\n", text)
 		for _, c := range []struct {
 			command *command
@@ -39,11 +29,7 @@
 			{&cmdWhere, []string{"--host", "a.example", "--path", "/b/x", "--vm"}},
 			{&cmdWhere, []string{"--host", "a.example", "--path", "/b/x", "--json", "--vm"}},
 		} {
-			ln, err := standin.Accept(func(conn net.Conn) {
-				_, _ = conn.Read(make([]byte, 4<<10))
-				_, _ = io.WriteString(conn, text)
-				_ = conn.Close()
-			})
+			ln, err := standin.Accept(standin.Respond(text))
 			if err != nil {
 				t.Fatal(err)
 			}
