--- a/internal/forwarder/field_test.go
+++ b/internal/forwarder/field_test.go
@@ -47,7 +47,7 @@
 // reaches the caller with the broken line, or with another body than its target's.
 func TestFieldNames(t *testing.T) {
 	var out bytes.Buffer
-	g := startRespondent(t)
+	g := startRawTarget(t)
 	for _, c := range brokenNames {
 		allowed, others := map[string]string{}, map[string]string{}
 		for _, b := range strings.Split(triedBytes, "") {
@@ -107,7 +107,7 @@
 // continue the line before, with the golden file.
 func TestFieldLines(t *testing.T) {
 	var out bytes.Buffer
-	g := startRespondent(t)
+	g := startRawTarget(t)
 	for _, line := range []string{
 		"X-A: v",
 		"X-A:v",
--- a/internal/forwarder/framing_test.go
+++ b/internal/forwarder/framing_test.go
@@ -14,7 +14,7 @@
 func TestFraming(t *testing.T) {
 	const chunks = "2\r\nok\r\n0\r\n\r\n"
 	var out bytes.Buffer
-	g := startRespondent(t)
+	g := startRawTarget(t)
 	for _, text := range []string{
 		"HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
 		"HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: Chunked\r\n\r\n" + chunks,
@@ -45,7 +45,7 @@
 // response.
 func TestInterimFraming(t *testing.T) {
 	var out bytes.Buffer
-	g := startRespondent(t)
+	g := startRawTarget(t)
 	for _, head := range []string{
 		"HTTP/1.1 100 Continue\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
@@ -63,7 +63,7 @@
 // with the golden file.
 func TestTrailer(t *testing.T) {
 	var out bytes.Buffer
-	g := startRespondent(t)
+	g := startRawTarget(t)
 	for _, trailer := range []string{
 		"\r\n",
 		"X-A: v\r\n\r\n",
@@ -96,7 +96,7 @@
 // head states one, with the golden file. The head of a 304 may state that of a 200.
 func TestNoContentFraming(t *testing.T) {
 	var out bytes.Buffer
-	g := startRespondent(t)
+	g := startRawTarget(t)
 	for _, text := range []string{
 		"HTTP/1.1 204 No Content\r\nSignature: s\r\n\r\n",
 		"HTTP/1.1 204 No Content\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
--- a/internal/forwarder/identity_test.go
+++ b/internal/forwarder/identity_test.go
@@ -15,7 +15,7 @@
 func TestContentCoding(t *testing.T) {
 	var out bytes.Buffer
 	for _, unencoded := range []bool{false, true} {
-		g := startRespondentWith(t, handler.NewDialect(handler.DialectSpec{
+		g := startRawTargetWith(t, handler.NewDialect(handler.DialectSpec{
 			Timeout:   "Timeout-Ms",
 			Signature: "Signature",
 			Unencoded: unencoded,
@@ -41,7 +41,7 @@
 // another response.
 func TestRepeatedIdentity(t *testing.T) {
 	var out bytes.Buffer
-	g := startRespondentWith(t, handler.NewDialect(handler.DialectSpec{
+	g := startRawTargetWith(t, handler.NewDialect(handler.DialectSpec{
 		Timeout:   "Timeout-Ms",
 		Signature: "Signature",
 		RequestID: "Token",
--- a/internal/forwarder/status_test.go
+++ b/internal/forwarder/status_test.go
@@ -30,24 +30,24 @@
 	})
 }
 
-// respondent is a target that responds with a text and closes the connection, with a transport
+// rawTarget is a target that responds with a text and closes the connection, with a transport
 // that sends requests to it.
-type respondent struct {
+type rawTarget struct {
 	target    *scriptedTarget
 	transport *forwarder.Transport
 	timer     *timer.Service
 	text      atomic.Pointer[string]
 }
 
-func startRespondent(t *testing.T) *respondent {
+func startRawTarget(t *testing.T) *rawTarget {
 	t.Helper()
 
-	return startRespondentWith(t, signedDialect())
+	return startRawTargetWith(t, signedDialect())
 }
 
-func startRespondentWith(t *testing.T, d *handler.Dialect) *respondent {
+func startRawTargetWith(t *testing.T, d *handler.Dialect) *rawTarget {
 	t.Helper()
-	g := &respondent{timer: timer.NewService()}
+	g := &rawTarget{timer: timer.NewService()}
 	g.transport = forwarder.NewTransport(g.timer, d, reserver.New(testMemory), func(*manifester.Target) int { return 1 })
 	g.target = startTarget(t, func(c net.Conn, n int64, r *http.Request) {
 		_, _ = io.WriteString(c, *g.text.Load())
@@ -59,7 +59,7 @@
 }
 
 // attempt returns the result of an attempt to which the target responds with the text.
-func (g *respondent) attempt(text string) *handler.Attempt {
+func (g *rawTarget) attempt(text string) *handler.Attempt {
 	g.text.Store(&text)
 	defer g.closeIdle()
 
@@ -67,7 +67,7 @@
 }
 
 // closeIdle closes the idle connections, so that the next attempt opens one.
-func (g *respondent) closeIdle() {
+func (g *rawTarget) closeIdle() {
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = g.transport.Run(ended)
@@ -77,7 +77,7 @@
 // with the golden file. It guards against a response whose status is none of HTTP and
 // reaches the caller as a success.
 func TestStatus(t *testing.T) {
-	g := startRespondent(t)
+	g := startRawTarget(t)
 	results := make([]string, 1000)
 	for n := range results {
 		a := g.attempt(fmt.Sprintf("HTTP/1.1 %03d Text\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok", n))
@@ -97,7 +97,7 @@
 // follows other bytes, with the golden file.
 func TestStatusLine(t *testing.T) {
 	var out bytes.Buffer
-	g := startRespondent(t)
+	g := startRawTarget(t)
 	for _, line := range []string{
 		"HTTP/1.1 200 OK",
 		"HTTP/1.1 200",
--- a/internal/forwarder/valid_test.go
+++ b/internal/forwarder/valid_test.go
@@ -52,7 +52,7 @@
 // once, with the golden file. It guards against a check that refuses what HTTP/1.1 allows.
 func TestValidResponses(t *testing.T) {
 	var out bytes.Buffer
-	g := startRespondent(t)
+	g := startRawTarget(t)
 	for _, text := range validResponses {
 		fmt.Fprintf(&out, "%s: %s\n", shorten(fmt.Sprintf("%q", text)), describeWhole(g.attempt(text)))
 	}
@@ -63,8 +63,8 @@
 // their bytes arrives by itself.
 func TestValidResponsesInPieces(t *testing.T) {
 	const maxLength = 400
-	whole := startRespondent(t)
-	pieces := startRespondent(t)
+	whole := startRawTarget(t)
+	pieces := startRawTarget(t)
 	pieces.target.reply = func(c net.Conn, n int64, r *http.Request) {
 		for _, b := range []byte(*pieces.text.Load()) {
 			_, _ = c.Write([]byte{b})
